Serve a request along the whole path

Cause: the project had a design and no code.

Change: modules protocol, core, platform, testkit, router and operator. An operator applies a TOML file, routers take it up from the platform or a peer, a caller asks for an address, and a request runs on a slot that the pool's owner allocated. Decisions are pure and take the time as a parameter; the router's process carries out their effects.

Nine tests over real sockets pass.

--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/pool/PoolOwner.kt
@@ -0,0 +1,227 @@
+package buckthornbay.core.pool
+
+import buckthornbay.protocol.Allocation
+import buckthornbay.protocol.DemandReport
+import buckthornbay.protocol.HostId
+import buckthornbay.protocol.PoolId
+import buckthornbay.protocol.ServiceTotals
+import buckthornbay.protocol.SlotGrant
+import buckthornbay.protocol.UpstreamId
+import buckthornbay.protocol.WorkspaceId
+import buckthornbay.protocol.WorkspaceOrder
+import buckthornbay.protocol.WorkspaceTotal
+
+/**
+ * The owner's side of one pool: it divides the pool's slots between the hosts so that workspaces are served by their shares.
+ *
+ * Its state is soft: a new owner rebuilds it from the hosts' reports.
+ */
+public class PoolOwner(
+    private val self: HostId,
+    epoch: Long,
+    private var plan: PoolPlan,
+    private val startedAtMillis: Long,
+    private val settings: OwnerSettings = OwnerSettings(),
+) {
+    /** Fencing number of this ownership; it rises above any that a host reports. */
+    public var epoch: Long = epoch
+        private set
+
+    private val ledger = FairLedger()
+    private val health = UpstreamHealth()
+    private val views = LinkedHashMap<HostId, HolderView>()
+    private val totals = HashMap<WorkspaceId, Double>()
+    private val toldTotals = HashMap<WorkspaceId, Double>()
+    private val remoteTotals = HashMap<PoolId, RemoteTotals>()
+    private var shortSeenAtMillis = Long.MIN_VALUE / 2
+    private var dividedAtMillis = Long.MIN_VALUE / 2
+    private var totalsVersion = 0L
+    private val rate = ServiceRate()
+
+    private class RemoteTotals(
+        val owner: HostId,
+        val incarnation: Long,
+        val version: Long,
+        val servedUnits: Map<WorkspaceId, Double>,
+    )
+
+    /** The hosts that use the pool. */
+    public val hosts: Set<HostId> get() = views.keys
+
+    /** Takes up a new plan of the pool; upstreams that it no longer names get no new slots. */
+    public fun adopt(nowMillis: Long, newer: PoolPlan) {
+        plan = newer
+        divide(nowMillis)
+    }
+
+    /** Takes in a host's [report] and returns the allocation that answers it; null where a later report came before. */
+    public fun receive(nowMillis: Long, report: DemandReport): Allocation? {
+        val view = views.getOrPut(report.host) { HolderView(report.host) }
+        if (!view.accepts(report)) return null
+        if (report.epoch > epoch) epoch = report.epoch + 1
+        val known = view.incarnation == report.incarnation
+        if (!known) restart(view, report)
+        view.reportVersion = report.version
+        view.heardAtMillis = nowMillis
+        if (report.epoch == epoch) view.confirm(report.allocationVersion)
+        takeDemand(view, report)
+        takeUse(nowMillis, view, report, known)
+        observeBacklog(nowMillis)
+        divide(nowMillis)
+        return allocationFor(view)
+    }
+
+    /** Returns the allocations that changed and that their hosts have not been told yet. */
+    public fun takeChanged(): List<Allocation> = views.values.filter { it.changed }.map { allocationFor(it) }
+
+    /** Forgets [host], which is gone; its slots go to the others. */
+    public fun hostGone(nowMillis: Long, host: HostId) {
+        views.remove(host) ?: return
+        divide(nowMillis)
+    }
+
+    /** Forgets silent hosts and judges the upstreams again. */
+    public fun tick(nowMillis: Long) {
+        val silent = views.values.filter { nowMillis - it.heardAtMillis > settings.validForMillis + settings.silenceMarginMillis }
+        silent.forEach { views.remove(it.host) }
+        if (silent.isEmpty() && nowMillis - dividedAtMillis < settings.divideMillis) return
+        observeBacklog(nowMillis)
+        divide(nowMillis)
+    }
+
+    /**
+     * Returns what this pool served so far, for the owners of the other pools: the workspaces whose figure changed since the
+     * last.
+     */
+    public fun serviceTotals(): ServiceTotals {
+        totalsVersion++
+        val changed = totals.filter { (workspace, units) -> units != toldTotals[workspace] }
+        toldTotals.putAll(changed)
+        val entries = changed.map { (workspace, units) -> WorkspaceTotal(workspace, units) }
+        return ServiceTotals(plan.pool, self, startedAtMillis, totalsVersion, entries)
+    }
+
+    /** Counts what another pool served, so that shares hold across the fleet. */
+    public fun receiveTotals(message: ServiceTotals) {
+        val known = remoteTotals[message.pool]?.takeIf { it.owner == message.owner && it.incarnation == message.incarnation }
+        if (known != null && message.version <= known.version) return
+        val before = known?.servedUnits.orEmpty()
+        val served = message.totals.associate { it.workspace to it.servedUnits }
+        if (known != null) {
+            served.forEach { (workspace, units) ->
+                ledger.add(workspace, units - (before[workspace] ?: 0.0), plan.shareOf(workspace))
+            }
+        }
+        remoteTotals[message.pool] = RemoteTotals(message.owner, message.incarnation, message.version, before + served)
+    }
+
+    /** Returns the upstreams that are set aside as slow. */
+    public fun slowUpstreams(): Set<UpstreamId> = plan.upstreams.map { it.id }.filterTo(HashSet()) { health.isSlow(it) }
+
+    private fun restart(view: HolderView, report: DemandReport) {
+        view.incarnation = report.incarnation
+        view.demand.clear()
+        view.use.clear()
+        view.servedUnits.clear()
+        for (demand in report.workspaces) {
+            ledger.recall(demand.workspace, demand.normalizedUnits)
+            view.servedUnits[demand.workspace] = demand.acknowledgedUnits
+        }
+    }
+
+    private fun takeDemand(view: HolderView, report: DemandReport) {
+        val mentioned = report.workspaces.mapTo(HashSet()) { it.workspace }
+        view.demand.keys.removeAll { it !in mentioned }
+        for (demand in report.workspaces) {
+            view.demand[demand.workspace] = demand
+            val delta = demand.servedUnits - (view.servedUnits[demand.workspace] ?: 0.0)
+            view.servedUnits[demand.workspace] = demand.servedUnits
+            ledger.add(demand.workspace, delta, plan.shareOf(demand.workspace))
+            totals.merge(demand.workspace, delta, Double::plus)
+        }
+    }
+
+    private fun takeUse(nowMillis: Long, view: HolderView, report: DemandReport, known: Boolean) {
+        for (use in report.upstreams) {
+            val before = view.use[use.upstream]
+            view.use[use.upstream] = HolderView.Usage(use.inUse, use.longInUse, use.busyMillis, use.progressUnits)
+            if (!known && before == null && report.version > 1) continue
+            val busyMillis = use.busyMillis - (before?.busyMillis ?: 0)
+            val progressUnits = use.progressUnits - (before?.progressUnits ?: 0.0)
+            health.observe(nowMillis, use.upstream, busyMillis, progressUnits)
+            rate.observe(busyMillis, progressUnits)
+        }
+    }
+
+    private fun observeBacklog(nowMillis: Long) {
+        val active = HashSet<WorkspaceId>()
+        val backlogged = HashSet<WorkspaceId>()
+        for (view in views.values) {
+            for ((workspace, demand) in view.demand) {
+                val queued = demand.queuedShort + demand.queuedLong
+                if (queued + demand.running > 0) active += workspace
+                if (queued > 0) backlogged += workspace
+                if (demand.queuedShort + demand.running - demand.runningLong > 0) shortSeenAtMillis = nowMillis
+            }
+        }
+        ledger.observe(nowMillis, active, backlogged)
+    }
+
+    private fun divide(nowMillis: Long) {
+        dividedAtMillis = nowMillis
+        health.evaluate(nowMillis, plan.upstreams.map { it.id })
+        val capacity = plan.upstreams.associate { it.id to maxOf(1, (it.slots * health.weightOf(it.id)).toInt()) }
+        val total = capacity.values.sum()
+        val shortComes = nowMillis - shortSeenAtMillis < settings.shortMemoryMillis
+        val longLimit = if (shortComes) maxOf(1, (total * plan.policy.longShare).toInt()) else total
+        val division = SlotDivision(plan, ledger, rate.unitsPerSlot(settings.horizonMillis), longLimit)
+        val shares = division.divide(views.values, total)
+        val placement = SlotPlacement(capacity, views.values)
+        for (view in views.values) {
+            val share = shares.getValue(view.host)
+            val longSlots = if (shortComes) share.longSlots else Int.MAX_VALUE
+            val slots = placement.lower(view, share.slots)
+            if (slots != view.allocated || longSlots != view.longSlots) view.changed = true
+            view.longSlots = longSlots
+            view.allocate(slots)
+        }
+        for (view in views.values.sortedByDescending { shares.getValue(it.host).slots - it.allocated.values.sum() }) {
+            if (placement.raise(view, shares.getValue(view.host).slots)) view.changed = true
+        }
+    }
+
+    private fun allocationFor(view: HolderView): Allocation {
+        view.sentVersion++
+        view.changed = false
+        return Allocation(
+            pool = plan.pool,
+            host = view.host,
+            owner = self,
+            epoch = epoch,
+            version = view.sentVersion,
+            validForMillis = settings.validForMillis,
+            contended = views.values.any { it.queued > 0 },
+            longSlots = view.longSlots,
+            slots = view.allocated.filterValues { it > 0 }.map { (upstream, count) -> SlotGrant(upstream, count) },
+            order = view.demand.keys.map { WorkspaceOrder(it, ledger.normalizedOf(it), view.servedUnits.getValue(it)) },
+            reportVersion = view.reportVersion,
+        )
+    }
+}
+
+/**
+ * Times of a [PoolOwner].
+ *
+ * @property validForMillis how long an allocation holds without a new one, in milliseconds.
+ * @property silenceMarginMillis how much longer a silent host's slots stay reserved, in milliseconds.
+ * @property divideMillis longest time between two divisions, in milliseconds.
+ * @property horizonMillis time in which a workspace that is behind is meant to catch up, in milliseconds.
+ * @property shortMemoryMillis how long after short work was last seen its slots stay closed to long work, in milliseconds.
+ */
+public data class OwnerSettings(
+    public val validForMillis: Long = 5_000,
+    public val silenceMarginMillis: Long = 1_000,
+    public val divideMillis: Long = 100,
+    public val horizonMillis: Long = 500,
+    public val shortMemoryMillis: Long = 5_000,
+)
--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/request/RequestLifecycle.kt
@@ -0,0 +1,162 @@
+package buckthornbay.core.request
+
+import buckthornbay.core.chart.StateChart
+import buckthornbay.core.chart.loadChart
+import buckthornbay.protocol.RequestEnd
+
+/** Where a request is; the chart `charts/request.toml` says what leads where. */
+public enum class RequestState { RECEIVED, QUEUED, SENDING, STREAMING, ANSWERED, FAILED, NOT_RUN, UNKNOWN }
+
+/** What can happen to a request. */
+public enum class RequestEvent {
+    QUEUE,
+    REFUSE,
+    DISPATCH,
+    RETRY,
+    FAIL_UNWRITTEN,
+    FAIL_WRITTEN,
+    LOSE_TRACK,
+    FIRST_BYTE,
+    RESUME,
+    COMPLETE,
+}
+
+/** How an attempt at an upstream failed, which decides what may be said and done. */
+public enum class FailureKind {
+    /** No connection came about, so nothing was written. */
+    NOT_CONNECTED,
+
+    /** The upstream refused the request without reading it, and said so. */
+    REFUSED_UNREAD,
+
+    /** The connection broke or fell silent after the request was, or may have been, written. */
+    BROKEN_BEFORE_ANSWER,
+
+    /** The answer had begun. */
+    BROKEN_IN_ANSWER,
+
+    /** The caller left. */
+    CALLER_LEFT,
+}
+
+/** What is to be done after a failed attempt. */
+public sealed interface AfterFailure {
+    /** Queue the request again; nothing of an answer has reached the caller. */
+    public data object Retry : AfterFailure
+
+    /** Ask the upstream for the rest of the answer. */
+    public data object Resume : AfterFailure
+
+    /** The request is over. */
+    public data class End(public val end: RequestEnd) : AfterFailure
+}
+
+/**
+ * The life of one request: it keeps the state and decides what follows a failure.
+ *
+ * Each request reaches exactly one [RequestEnd]. [RequestEnd.NOT_RUN] is reached only while nothing was written to an upstream,
+ * and
+ * an unrepeatable request is never sent again once something may have been written.
+ *
+ * @param unrepeatable whether the request may run at most once.
+ * @param resumable whether the upstream can continue a broken answer.
+ */
+public class RequestLifecycle(
+    private val unrepeatable: Boolean,
+    private val resumable: Boolean,
+    private val budget: RetryBudget,
+) {
+    /** Where the request is now. */
+    public var state: RequestState = CHART.initial
+        private set
+
+    private var attempts = 0
+    private var resumes = 0
+    private var mayHaveRun = false
+
+    /** The request's end, or null while it goes on. */
+    public val end: RequestEnd? get() =
+        when (state) {
+            RequestState.ANSWERED -> RequestEnd.ANSWERED
+            RequestState.FAILED -> RequestEnd.FAILED
+            RequestState.NOT_RUN -> RequestEnd.NOT_RUN
+            RequestState.UNKNOWN -> RequestEnd.UNKNOWN
+            else -> null
+        }
+
+    /** The request waits for a slot. */
+    public fun queued() {
+        if (state == RequestState.RECEIVED) budget.requestArrived()
+        if (state != RequestState.QUEUED) move(RequestEvent.QUEUE)
+    }
+
+    /**
+     * The request is refused while it waits, or its caller left; it counts as not run only if no earlier attempt was written.
+     */
+    public fun refused(): AfterFailure = endUnsent()
+
+    /** The request is being sent to an upstream. */
+    public fun dispatched() {
+        attempts++
+        move(RequestEvent.DISPATCH)
+    }
+
+    /** The first byte of the answer arrived. */
+    public fun answering(): Unit = move(RequestEvent.FIRST_BYTE)
+
+    /** The whole answer was passed on. */
+    public fun completed(): Unit = move(RequestEvent.COMPLETE)
+
+    /** Decides what follows a failure of [kind] and moves there. */
+    public fun failed(kind: FailureKind): AfterFailure {
+        if (state == RequestState.QUEUED || state == RequestState.RECEIVED) return endUnsent()
+        val written = kind != FailureKind.NOT_CONNECTED && kind != FailureKind.REFUSED_UNREAD
+        mayHaveRun = mayHaveRun || written
+        return when {
+            state == RequestState.STREAMING -> afterBrokenAnswer(kind)
+            kind == FailureKind.CALLER_LEFT -> endWith(if (unrepeatable) RequestEvent.LOSE_TRACK else RequestEvent.FAIL_WRITTEN)
+            kind == FailureKind.NOT_CONNECTED || kind == FailureKind.REFUSED_UNREAD -> afterUnwritten()
+            unrepeatable -> endWith(RequestEvent.LOSE_TRACK)
+            attempts < MAX_ATTEMPTS && budget.tryRetry() -> retry()
+            else -> endWith(RequestEvent.FAIL_WRITTEN)
+        }
+    }
+
+    private fun endUnsent(): AfterFailure = endWith(if (mayHaveRun) RequestEvent.FAIL_WRITTEN else RequestEvent.REFUSE)
+
+    private fun afterUnwritten(): AfterFailure = when {
+        attempts < MAX_ATTEMPTS -> retry()
+        mayHaveRun -> endWith(RequestEvent.FAIL_WRITTEN)
+        else -> endWith(RequestEvent.FAIL_UNWRITTEN)
+    }
+
+    private fun afterBrokenAnswer(kind: FailureKind): AfterFailure {
+        if (kind == FailureKind.CALLER_LEFT || !resumable || resumes >= MAX_RESUMES) return endWith(RequestEvent.FAIL_WRITTEN)
+        resumes++
+        move(RequestEvent.RESUME)
+        return AfterFailure.Resume
+    }
+
+    private fun retry(): AfterFailure {
+        move(RequestEvent.RETRY)
+        return AfterFailure.Retry
+    }
+
+    private fun endWith(event: RequestEvent): AfterFailure {
+        move(event)
+        return AfterFailure.End(checkNotNull(end) { "$event must end a request" })
+    }
+
+    private fun move(event: RequestEvent) {
+        state = checkNotNull(CHART.next(state, event)) { "the chart allows no $event in state $state" }
+    }
+
+    public companion object {
+        /** The chart of requests, as `charts/request.toml` states it. */
+        public val CHART: StateChart<RequestState, RequestEvent> =
+            loadChart("request", RequestState.entries, RequestEvent.entries)
+
+        private const val MAX_ATTEMPTS = 3
+        private const val MAX_RESUMES = 3
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/buckthornbay/operator/Main.kt
@@ -0,0 +1,41 @@
+package buckthornbay.operator
+
+import com.github.ajalt.clikt.completion.CompletionCommand
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.core.subcommands
+import com.github.ajalt.clikt.parameters.options.versionOption
+
+/** Runs the operators' command line. */
+public fun main(args: Array<String>) {
+    if (System.getProperty(LOG_LEVEL) == null && System.getenv(LOG_LEVEL) == null) System.setProperty(LOG_LEVEL, "WARN")
+    OperatorCommand()
+        .subcommands(
+            ValidateCommand(),
+            DiffCommand(),
+            ApplyCommand(),
+            GetCommand(),
+            StatusCommand(),
+            DrainCommand(),
+            ExplainCommand(),
+            StandInsCommand(),
+            DemoCommand(),
+            LoadCommand(),
+            CompletionCommand(),
+        )
+        .main(args)
+}
+
+/** Where the logback configuration reads the level from; commands print their own results, so they log warnings only. */
+private const val LOG_LEVEL = "BUCKTHORNBAY_LOG_LEVEL"
+
+private class OperatorCommand : CliktCommand(name = "buckthornbay") {
+    init {
+        versionOption("0.1.0")
+    }
+
+    override fun help(context: Context): String = "Declares what a buckthornbay fleet serves, and shows what it does."
+
+    override fun run() = Unit
+}
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/FleetRoutes.kt
@@ -0,0 +1,101 @@
+package buckthornbay.router
+
+import buckthornbay.core.node.NodeEffect
+import buckthornbay.protocol.HostId
+import buckthornbay.protocol.PeerEnvelope
+import buckthornbay.protocol.PeerMessage
+import buckthornbay.protocol.RequestId
+import buckthornbay.protocol.WireJson
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respond
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+
+/** The routes that peers, operators and monitoring use. */
+internal class FleetRoutes(
+    private val context: DriverContext,
+    private val transport: PeerTransport,
+    private val runEffect: EffectRunner,
+    private val requestDrain: () -> Unit,
+) {
+    fun install(route: Route) {
+        route.post("/internal/v1/messages") { call.guarded(context.settings.fleetKey) { messages() } }
+        route.get("/internal/v1/state") { call.guarded(context.settings.fleetKey) { state() } }
+        route.get("/operator/v1/status") { call.guarded(context.settings.operatorKey) { status() } }
+        route.get("/operator/v1/state") { call.guarded(context.settings.operatorKey) { state() } }
+        route.get("/operator/v1/requests/{id}") { call.guarded(context.settings.operatorKey) { explain() } }
+        route.post("/operator/v1/drain") {
+            call.guarded(context.settings.operatorKey) {
+                requestDrain()
+                respond(HttpStatusCode.Accepted)
+            }
+        }
+        route.get("/metrics") { call.metrics() }
+        route.get("/healthz") { call.respondText("ok\n") }
+        route.get("/readyz") { call.ready() }
+    }
+
+    private suspend fun ApplicationCall.guarded(key: String, handle: suspend ApplicationCall.() -> Unit) {
+        val shown = request.header(HttpHeaders.Authorization)
+        when (shown) {
+            "Bearer $key" -> handle()
+            null -> reject(Rejection(HttpStatusCode.Unauthorized, "this route needs a key"))
+            else -> reject(Rejection(HttpStatusCode.Forbidden, "this key does not open this route"))
+        }
+    }
+
+    private suspend fun ApplicationCall.messages() {
+        val envelope = WireJson.decodeFromString(PeerEnvelope.serializer(), receiveText())
+        val effects = context.loop.ask { node, now -> node.receive(now, envelope) }
+        val replies = ArrayList<PeerMessage>()
+        effects.forEach { if (it.isReplyTo(envelope.from)) replies += (it as NodeEffect.Send).messages else runEffect.run(it) }
+        val body = WireJson.encodeToString(PeerEnvelope.serializer(), transport.envelope(replies))
+        transport.countBytes(body.length)
+        respondText(body, ContentType.Application.Json)
+    }
+
+    private suspend fun ApplicationCall.state() {
+        val state = context.catalog()?.state
+        if (state == null) {
+            respond(HttpStatusCode.NotFound)
+        } else {
+            respondText(WireJson.encodeToString(state), ContentType.Application.Json)
+        }
+    }
+
+    private suspend fun ApplicationCall.status() {
+        val status = context.loop.ask { node, _ -> node.status() }
+        respondText(WireJson.encodeToString(status), ContentType.Application.Json)
+    }
+
+    private suspend fun ApplicationCall.explain() {
+        val explanation = context.explanations.find(RequestId(parameters["id"].orEmpty()))
+        if (explanation == null) {
+            reject(Rejection(HttpStatusCode.NotFound, "this host knows no such request; ask the host that its id names"))
+        } else {
+            respondText(WireJson.encodeToString(explanation), ContentType.Application.Json)
+        }
+    }
+
+    private suspend fun ApplicationCall.metrics() {
+        context.metrics.pools(context.loop.ask { node, _ -> node.status().pools })
+        respondText(context.metrics.registry.scrape(), ContentType.Text.Plain)
+    }
+
+    private suspend fun ApplicationCall.ready() {
+        if (context.catalog() == null) {
+            respondText("no configuration yet\n", status = HttpStatusCode.ServiceUnavailable)
+        } else {
+            respondText("ready\n")
+        }
+    }
+
+    private fun NodeEffect.isReplyTo(host: HostId) = this is NodeEffect.Send && this.host == host
+}
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/Main.kt
@@ -0,0 +1,73 @@
+package buckthornbay.router
+
+import arrow.fx.coroutines.resourceScope
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.main
+import com.github.ajalt.clikt.parameters.options.flag
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.options.required
+import com.github.ajalt.clikt.parameters.options.versionOption
+import com.github.ajalt.clikt.parameters.types.file
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.runBlocking
+import sun.misc.Signal
+
+/** Runs one router process. */
+public fun main(args: Array<String>): Unit = RouterCommand().main(args)
+
+private class RouterCommand : CliktCommand(name = "buckthornbayd") {
+    private val config by option("--config", help = "The router's settings, a TOML file.")
+        .file(mustExist = true, canBeDir = false, mustBeReadable = true)
+        .required()
+    private val check by option("--check", help = "Check the settings and exit.").flag()
+
+    init {
+        versionOption(VERSION)
+    }
+
+    override fun help(context: Context): String = "Runs one router of a buckthornbay fleet."
+
+    override fun run() {
+        val settings = readRouterSettings(config.readText()).getOrElse { problems ->
+            problems.forEach { echo("${config.path}: $it", err = true) }
+            throw ProgramResult(EXIT_BAD_SETTINGS)
+        }
+        if (check) {
+            echo("${config.path}: the settings are valid")
+            return
+        }
+        prepareRuntime(settings)
+        serve(settings)
+    }
+
+    /** Sets what must stand before the first log line and the first connection. */
+    private fun prepareRuntime(settings: RouterSettings) {
+        if (settings.logFormat == LogFormat.JSON) System.setProperty("logback.configurationFile", "logback-json.xml")
+        System.setProperty("jdk.httpclient.keepalive.timeout", IDLE_CONNECTION_SECONDS)
+    }
+
+    private fun serve(settings: RouterSettings) = runBlocking {
+        val terminated = CompletableDeferred<Unit>()
+        Signal.handle(Signal("TERM")) { terminate(terminated) }
+        Signal.handle(Signal("INT")) { terminate(terminated) }
+        resourceScope {
+            val process = routerProcess(settings)
+            terminated.await()
+            process.drain()
+        }
+    }
+
+    private fun terminate(terminated: CompletableDeferred<Unit>) {
+        if (!terminated.complete(Unit)) Runtime.getRuntime().halt(EXIT_KILLED)
+    }
+
+    private companion object {
+        const val VERSION = "0.1.0"
+        const val EXIT_BAD_SETTINGS = 2
+        const val EXIT_KILLED = 143
+        const val IDLE_CONNECTION_SECONDS = "5"
+    }
+}
--- /dev/null
+++ b/router/src/test/kotlin/buckthornbay/router/WholePathTest.kt
@@ -0,0 +1,105 @@
+package buckthornbay.router
+
+import buckthornbay.protocol.AddressList
+import buckthornbay.protocol.RequestEnd
+import buckthornbay.protocol.RequestExplanation
+import buckthornbay.protocol.WireJson
+import buckthornbay.testkit.EngineFaults
+import buckthornbay.testkit.PlainFaults
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.get
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpStatusCode
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class WholePathTest {
+    @Test
+    fun aCallerIsToldAddressesAndGetsItsWholeStream() = withFleet {
+        val addresses = WireJson.decodeFromString(
+            AddressList.serializer(),
+            client.get("${urls[0]}/v1/addresses").bodyAsText(),
+        )
+        val answer = complete(addresses.hosts.first().url, tokens = 5).bodyAsText()
+        assertEquals(5, answer.lines().count { it.contains("\"text\"") })
+        assertTrue(answer.trim().endsWith("data: [DONE]"), answer)
+    }
+
+    @Test
+    fun aWholeAnswerCarriesItsEndAndCanBeExplainedToItsWorkspaceOnly() = withFleet {
+        val response = complete(urls[1], stream = false)
+        assertEquals("answered", response.headers["Buckthornbay-End"])
+        val id = response.headers["Buckthornbay-Request-Id"]
+        val own = client.get("${urls[1]}/v1/requests/$id") { bearerAuth("key-a") }
+        val explanation = WireJson.decodeFromString(RequestExplanation.serializer(), own.bodyAsText())
+        assertEquals(RequestEnd.ANSWERED, explanation.end)
+        assertEquals(HttpStatusCode.NotFound, client.get("${urls[1]}/v1/requests/$id") { bearerAuth("key-b") }.status)
+    }
+
+    @Test
+    fun callsWithoutARightKeyRunNothing() = withFleet {
+        assertEquals(HttpStatusCode.Unauthorized, client.get("${urls[0]}/plain/x").status)
+        assertEquals(HttpStatusCode.Forbidden, client.get("${urls[0]}/plain/x") { bearerAuth("wrong") }.status)
+        assertEquals(HttpStatusCode.Forbidden, client.get("${urls[0]}/operator/v1/status") { bearerAuth("key-a") }.status)
+        assertEquals(0, standIns.services.values.single().runCount.get())
+    }
+
+    @Test
+    fun aStreamThatBreaksIsResumedWithoutLossOrDoubling() = withFleet {
+        standIns.engines.values.forEach { it.faults = EngineFaults(breakAfterTokens = 4) }
+        val answer = complete(urls[0], tokens = 10).bodyAsText()
+        val words = Regex("\"text\":\"(w\\d+) \"").findAll(answer).map { it.groupValues[1] }.toList()
+        assertEquals((0 until 10).map { "w$it" }, words)
+    }
+
+    @Test
+    fun aStreamThatCannotBeResumedNeverEndsCleanly() = withFleet {
+        standIns.engines.values.forEach { it.faults = EngineFaults(breakAfterTokens = 1) }
+        val outcome = runCatching { complete(urls[0], tokens = 30).bodyAsText() }
+        val told = outcome.getOrElse { "" }
+        assertTrue(outcome.isFailure || "event: error" in told, told)
+        assertTrue("[DONE]" !in told)
+    }
+
+    @Test
+    fun aRefusedUnrepeatableRequestIsSaidNotToHaveRunAndDidNot() = withFleet {
+        val service = standIns.services.values.single()
+        service.faults = PlainFaults(refuses = true)
+        val response = charge(urls[0])
+        assertEquals("not_run", response.headers["Buckthornbay-End"])
+        assertEquals(0, service.runCount.get())
+    }
+
+    @Test
+    fun anUnrepeatableRequestToASilentServiceRunsOnceAndIsSaidToBeUnknown() = withFleet {
+        val service = standIns.services.values.single()
+        service.faults = PlainFaults(silent = true)
+        val response = charge(urls[0])
+        assertEquals("unknown", response.headers["Buckthornbay-End"])
+        assertEquals(1, service.runCount.get())
+    }
+
+    @Test
+    fun aDrainingHostFinishesItsRequestsAndTakesNoNewOnes() = withFleet {
+        coroutineScope {
+            val running = async { complete(urls[0], tokens = 60).bodyAsText() }
+            while (standIns.engines.values.sumOf { it.startedCount.get() } == 0L) delay(5)
+            val drained = async { routers[0].drain() }
+            while (complete(urls[0]).status != HttpStatusCode.ServiceUnavailable) delay(5)
+            assertTrue(running.await().trim().endsWith("data: [DONE]"))
+            drained.await()
+            val addresses = client.get("${urls[1]}/v1/addresses").bodyAsText()
+            assertTrue(urls[0] !in addresses, addresses)
+        }
+    }
+
+    @Test
+    fun aRequestToADeadUpstreamGoesToAnother() = withFleet {
+        standIns.engines.values.first().faults = EngineFaults(refuses = true)
+        repeat(6) { assertEquals("answered", complete(urls[it % 3], stream = false).headers["Buckthornbay-End"]) }
+    }
+}
