Carry peer messages on deflated streams and divide slots by fair shares

Change: all but heartbeats goes on one long-lived HTTP stream of JSON lines for each peer, deflated with the memory of earlier lines; figures are rounded to a tenth of a unit and told only where they changed. The owner divides slots by normalized service, moves idle slots at once and used ones twice a second, and sets slow upstreams aside but for probes; holders hedge late requests within a budget.

--- a/core/src/main/kotlin/buckthornbay/core/node/RouterNode.kt
+++ b/core/src/main/kotlin/buckthornbay/core/node/RouterNode.kt
@@ -50,6 +50,9 @@
     public var draining: Boolean = false
         private set
 
+    /** Returns the requests that wait at this host for a slot of [pool]. */
+    public fun queuedCount(pool: PoolId): Int = pools.holders()[pool]?.queuedCount ?: 0
+
     /** The desired state in force; null until the first one arrives. */
     public val state: VersionedState? get() = adoption.current
 
@@ -75,8 +78,13 @@
     public fun withdraw(pool: PoolId, id: RequestId): Boolean = pools.holderOf(pool)?.withdraw(id) ?: false
 
     /** Notes that a running request has cost [units] cost units so far. */
-    public fun progress(nowMillis: Long, pool: PoolId, id: RequestId, units: Double) {
-        pools.holderOf(pool)?.progress(nowMillis, id, units)
+    public fun progress(pool: PoolId, id: RequestId, units: Double) {
+        pools.holderOf(pool)?.progress(id, units)
+    }
+
+    /** Notes that the answer of a running request has begun to reach its caller. */
+    public fun answering(nowMillis: Long, pool: PoolId, id: RequestId) {
+        pools.holderOf(pool)?.answering(nowMillis, id)
     }
 
     /** Settles a running request at [units] cost units. */
@@ -122,8 +130,9 @@
         val effects = ArrayList<NodeEffect>()
         membership.tick(nowMillis, hostReport()).forEach { effects += send(it) }
         effects += followMembers(nowMillis)
+        val spacingMillis = budget.spacingMillis(nowMillis)
         pools.holders().forEach { (pool, holder) ->
-            holder.setReportingOpen(budget.isOpen(nowMillis))
+            holder.setReportSpacing(spacingMillis)
             effects += carry(nowMillis, pool, holder.tick(nowMillis))
         }
         effects += tickOwners(nowMillis)
@@ -173,7 +182,7 @@
         val reply = owner.receive(nowMillis, report) ?: return emptyList()
         val effects = ArrayList<NodeEffect>()
         effects += deliver(nowMillis, reply.host, reply)
-        if (budget.isOpen(nowMillis)) effects += pushChanged(nowMillis, report.pool)
+        effects += pushChanged(nowMillis, report.pool)
         return effects
     }
 
@@ -197,15 +206,16 @@
     }
 
     private fun pushChanged(nowMillis: Long, pool: PoolId): List<NodeEffect> =
-        pools.ownedPool(pool)?.takeChanged().orEmpty().flatMap { deliver(nowMillis, it.host, it) }
+        pools.ownedPool(pool)?.takeChanged(nowMillis, budget.spacingMillis(nowMillis)).orEmpty()
+            .flatMap { deliver(nowMillis, it.host, it) }
 
     private fun tickOwners(nowMillis: Long): List<NodeEffect> {
         val effects = ArrayList<NodeEffect>()
         for ((pool, owner) in pools.owned()) {
             owner.tick(nowMillis)
-            if (budget.isOpen(nowMillis)) effects += pushChanged(nowMillis, pool)
+            effects += pushChanged(nowMillis, pool)
         }
-        if (nowMillis - totalsAtMillis >= settings.totalsMillis && budget.isOpen(nowMillis)) {
+        if (nowMillis - totalsAtMillis >= settings.totalsMillis) {
             totalsAtMillis = nowMillis
             effects += exchangeTotals(nowMillis)
         }
--- a/core/src/main/kotlin/buckthornbay/core/pool/HolderAccounts.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/HolderAccounts.kt
@@ -51,7 +51,7 @@
     var progressUnits = 0.0
     var failures = 0L
 
-    fun toUse(upstream: UpstreamId) = UpstreamUse(upstream, inUse, longInUse, busyMillis, progressUnits, failures)
+    fun toUse(upstream: UpstreamId) = UpstreamUse(upstream, inUse, longInUse, busyMillis, rounded(progressUnits), failures)
 }
 
 /** The running requests of one host in one pool, with what they are charged and what they show of the upstreams. */
@@ -125,6 +125,6 @@
         val charged = HashMap<WorkspaceId, Double>()
         workspaces.forEach { (workspace, account) -> charged[workspace] = account.settledUnits }
         running.values.forEach { charged.merge(it.request.workspace, it.chargedUnits, Double::plus) }
-        return charged
+        return charged.mapValues { rounded(it.value) }
     }
 }
--- a/core/src/main/kotlin/buckthornbay/core/pool/HolderSettings.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/HolderSettings.kt
@@ -11,6 +11,8 @@
  * @property fallbackAfterMillis how long the owner may be silent before the fallback share is used, in milliseconds.
  * @property retryAfterMillis what a refused caller is told to wait, in milliseconds.
  * @property hedgeQuantilePercent quantile of the time to the first byte after which a request counts as late, in percent.
+ * @property probeMillis time between two copies that probe an upstream which was set aside, in milliseconds.
+ * @property suspectMillis how long an upstream with late requests is used last, in milliseconds.
  */
 public data class HolderSettings(
     public val minReportMillis: Long = 5,
@@ -19,7 +21,9 @@
     public val fallbackAfterMillis: Long = 300,
     public val maxQueuedPerWorkspace: Int = 1_000,
     public val retryAfterMillis: Long = 1_000,
-    public val hedgeQuantilePercent: Double = 95.0,
+    public val hedgeQuantilePercent: Double = 98.0,
+    public val probeMillis: Long = 500,
+    public val suspectMillis: Long = 1_000,
 )
 
 /**
--- a/core/src/main/kotlin/buckthornbay/core/pool/PoolHolder.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/PoolHolder.kt
@@ -27,8 +27,9 @@
 
     private val accounts = HolderAccounts(plan.streamsProgress)
     private val queues = LinkedHashMap<WorkspaceId, RequestQueue>()
-    private val lateness = LatenessWatch(settings.hedgeQuantilePercent)
+    private val lateness = LatenessWatch(settings)
     private var slots: Map<UpstreamId, Int> = emptyMap()
+    private var probeSlots: Map<UpstreamId, Int> = emptyMap()
     private var allocation: Allocation? = null
     private var allocatedAtMillis = 0L
     private var unansweredSinceMillis: Long? = null
@@ -36,7 +37,9 @@
     private var reportVersion = 0L
     private var reportedAtMillis = Long.MIN_VALUE / 2
     private var urgent = false
-    private var reportingOpen = true
+    private var recallNext = false
+    private var spacingMillis = settings.minReportMillis
+    private val reported = LinkedHashMap<Long, Map<WorkspaceId, Double>>()
     private var fallback = FallbackShare(rank = 0, hosts = 1)
 
     /** Requests that wait. */
@@ -59,7 +62,7 @@
         refusalOnArrival(nowMillis, request)?.let { return listOf(it) }
         queues.getOrPut(request.workspace) { RequestQueue() }.add(request)
         val effects = dispatch(nowMillis)
-        if (queuedCount > 0) urgent = true
+        if (queuedCount == 1) urgent = true
         return effects + reportIfDue(nowMillis)
     }
 
@@ -67,17 +70,23 @@
     public fun withdraw(id: RequestId): Boolean = queues.values.any { it.removeById(id) != null }
 
     /** Notes that the running request [id] has cost [units] cost units so far. */
-    public fun progress(nowMillis: Long, id: RequestId, units: Double) {
-        accounts.runningOf(id)?.let { lateness.answered(nowMillis, it) }
+    public fun progress(id: RequestId, units: Double) {
         accounts.progress(id, units)
     }
 
+    /** Notes that the answer of the running request [id] has begun to reach the caller, so that no other attempt can win. */
+    public fun answering(nowMillis: Long, id: RequestId) {
+        accounts.runningOf(id)?.let { lateness.answered(nowMillis, it) }
+    }
+
     /** Settles the running request [id] at [units] cost units and serves the next. */
     public fun end(nowMillis: Long, id: RequestId, units: Double, outcome: AttemptOutcome): List<HolderEffect> {
         if (outcome == AttemptOutcome.COMPLETED) accounts.runningOf(id)?.let { lateness.answered(nowMillis, it) }
-        accounts.end(nowMillis, id, units, outcome) ?: return emptyList()
+        val ended = accounts.end(nowMillis, id, units, outcome) ?: return emptyList()
         val effects = dispatch(nowMillis)
-        if (allocation?.contended == true && hasIdleSlot()) urgent = true
+        val givenUp = accounts.tallyOf(ended.upstream).inUse >= (slots[ended.upstream] ?: 0)
+        val freed = effects.isEmpty() && (givenUp || hasIdleSlot())
+        if (freed && allocation?.contended == true) urgent = true
         return effects + reportIfDue(nowMillis)
     }
 
@@ -93,12 +102,15 @@
         allocation = newer
         allocatedAtMillis = nowMillis
         if (newer.reportVersion >= reportVersion) unansweredSinceMillis = null
-        slots = newer.slots.associate { it.upstream to it.slots }
+        slots = newer.slots.filterNot { it.probeOnly }.associate { it.upstream to it.slots }
+        probeSlots = newer.slots.filter { it.probeOnly }.associate { it.upstream to it.slots }
         for (order in newer.order) {
             val account = accounts.accountOf(order.workspace)
             account.normalizedUnits = order.normalizedUnits
-            account.acknowledgedUnits = order.acknowledgedUnits
+            reported[newer.reportVersion]?.get(order.workspace)?.let { account.acknowledgedUnits = it }
         }
+        reported.keys.removeAll { it < newer.reportVersion }
+        recallNext = newer.wantsRecall
         val effects = dispatch(nowMillis)
         if (lowered) return effects + report(nowMillis)
         return effects + reportIfDue(nowMillis)
@@ -118,13 +130,14 @@
         if (usesFallback && slots.isNotEmpty()) useFallback()
     }
 
-    /** Says whether there is room in the control budget; while there is none, only renewals and confirmations are sent. */
-    public fun setReportingOpen(open: Boolean) {
-        reportingOpen = open
+    /** Says how far reports that can wait must stand apart, so that the control budget holds; in milliseconds. */
+    public fun setReportSpacing(millis: Long) {
+        spacingMillis = maxOf(settings.minReportMillis, millis)
     }
 
     /** Forgets that the owner was asked, because another host owns the pool now; the next report goes there at once. */
     public fun ownerChanged(nowMillis: Long): List<HolderEffect> {
+        recallNext = true
         unansweredSinceMillis = null
         urgent = true
         return reportIfDue(nowMillis)
@@ -173,16 +186,31 @@
         val order = ServiceOrder(accounts, plan)
         while (hasIdleSlot()) {
             val request = order.next(queues, longAllowed()) ?: break
-            val upstream = chooseUpstream(request) ?: break
+            val upstream = chooseUpstream(nowMillis, request) ?: break
             queues.getValue(request.workspace).remove(request)
             if (queues.getValue(request.workspace).size == 0) queues.remove(request.workspace)
             accounts.start(nowMillis, request, upstream)
             order.charge(request)
             effects += HolderEffect.Dispatch(request, upstream)
+            probe(nowMillis, request)?.let { effects += it }
         }
         return effects
     }
 
+    private fun probe(nowMillis: Long, request: PoolRequest): HolderEffect? {
+        val upstream = probeSlots.keys.firstOrNull { lateness.shouldProbe(nowMillis, request, it, plan.policy.hedgeBudget) }
+        if (upstream == null || idleAt(upstream, probeSlots.getValue(upstream)) <= 0) return null
+        lateness.probed(nowMillis, upstream)
+        return accounts.runningOf(request.id)?.let { copy(nowMillis, it, upstream) }
+    }
+
+    private fun copy(nowMillis: Long, entry: RunningRequest, upstream: UpstreamId): HolderEffect {
+        lateness.copied(entry)
+        val copy = entry.request.copy(id = RequestId("${entry.request.id}~hedge"), hedgeable = false)
+        accounts.start(nowMillis, copy, upstream)
+        return HolderEffect.Hedge(entry.request.id, copy, upstream)
+    }
+
     private fun longAllowed(): Boolean {
         val limit = allocation?.longSlots ?: Int.MAX_VALUE
         return accounts.upstreams.values.sumOf { it.longInUse } < limit
@@ -192,39 +220,37 @@
 
     private fun idleAt(upstream: UpstreamId, count: Int): Int = count - (accounts.upstreams[upstream]?.inUse ?: 0)
 
-    private fun chooseUpstream(request: PoolRequest): UpstreamId? {
-        val idle = slots.filter { (upstream, count) -> idleAt(upstream, count) > 0 }
-        request.preferred?.let { if (it in idle && it !in request.excluded) return it }
-        val candidates = idle.filterKeys { it !in request.excluded }.ifEmpty { idle }
-        return candidates.entries.minWithOrNull(
-            compareBy(
-                { (upstream, _) -> (accounts.upstreams[upstream]?.inUse ?: 0).toDouble() / maxOf(1, plan.slotsOf(upstream)) },
-                { it.key.value },
-            ),
-        )?.key
+    private fun chooseUpstream(nowMillis: Long, request: PoolRequest): UpstreamId? {
+        val idle = slots.filter { (upstream, count) -> idleAt(upstream, count) > 0 }.keys
+        request.preferred?.let { if (it in idle && it !in request.excluded && !lateness.isSuspect(nowMillis, it)) return it }
+        return idle.minWithOrNull(
+            compareBy({ it in request.excluded }, { lateness.isSuspect(nowMillis, it) }, { busyPart(it) }, { it.value }),
+        )
     }
 
+    private fun busyPart(upstream: UpstreamId): Double =
+        (accounts.upstreams[upstream]?.inUse ?: 0).toDouble() / maxOf(1, plan.slotsOf(upstream))
+
     private fun hedges(nowMillis: Long): List<HolderEffect> {
         if (queuedCount > 0 || plan.policy.hedgeBudget <= 0.0) return emptyList()
         val late = accounts.runningRequests.filter { lateness.isLate(nowMillis, it, plan.policy.hedgeBudget) }
+        late.forEach { lateness.late(nowMillis, it) }
         return late.mapNotNull { entry ->
-            val idle = slots.filter { (upstream, count) -> upstream != entry.upstream && idleAt(upstream, count) > 0 }
-            val upstream = idle.maxByOrNull { (upstream, count) -> idleAt(upstream, count) }?.key ?: return@mapNotNull null
-            lateness.hedged(entry)
-            val copy = entry.request.copy(id = RequestId("${entry.request.id}~hedge"), hedgeable = false)
-            accounts.start(nowMillis, copy, upstream)
-            HolderEffect.Hedge(entry.request.id, copy, upstream)
+            val idle = slots.filter { (upstream, count) -> upstream != entry.upstream && idleAt(upstream, count) > 0 }.keys
+            val upstream =
+                idle.minWithOrNull(compareBy({ lateness.isSuspect(nowMillis, it) }, { busyPart(it) })) ?: return@mapNotNull null
+            urgent = true
+            copy(nowMillis, entry, upstream)
         }
     }
 
     private fun reportIfDue(nowMillis: Long): List<HolderEffect> {
         val sinceMillis = nowMillis - reportedAtMillis
-        if (!reportingOpen && sinceMillis < settings.idleReportMillis) return emptyList()
         val active = queuedCount > 0 || runningCount > 0
         val due =
             when {
-                urgent -> sinceMillis >= settings.minReportMillis
-                active -> sinceMillis >= settings.activeReportMillis
+                urgent -> sinceMillis >= spacingMillis
+                active -> sinceMillis >= maxOf(settings.activeReportMillis, spacingMillis)
                 else -> sinceMillis >= settings.idleReportMillis
             }
         return if (due) report(nowMillis) else emptyList()
@@ -236,6 +262,9 @@
         reportedAtMillis = nowMillis
         urgent = false
         if (unansweredSinceMillis == null) unansweredSinceMillis = nowMillis
+        val charged = accounts.chargedUnits()
+        reported[reportVersion] = charged
+        if (reported.size > MAX_REPORTED) reported.remove(reported.keys.first())
         val report =
             DemandReport(
                 pool = plan.pool,
@@ -244,33 +273,48 @@
                 version = reportVersion,
                 epoch = allocation?.epoch ?: lastEpoch,
                 allocationVersion = allocation?.version ?: 0,
-                workspaces = workspaceDemands(nowMillis),
+                workspaces = workspaceDemands(nowMillis, charged),
                 upstreams = accounts.upstreams.map { (upstream, tally) -> tally.toUse(upstream) },
+                recalls = recallNext,
             )
         return listOf(HolderEffect.Report(report))
     }
 
-    private fun workspaceDemands(nowMillis: Long): List<WorkspaceDemand> {
-        val charged = accounts.chargedUnits()
+    private fun workspaceDemands(nowMillis: Long, charged: Map<WorkspaceId, Double>): List<WorkspaceDemand> {
         queues.keys.forEach { accounts.accountOf(it) }
-        return accounts.workspaces.mapNotNull { (workspace, account) ->
-            val queue = queues[workspace]
-            val idle = queue == null && account.running == 0 && !account.changed
-            if (idle) return@mapNotNull null
+        val told = accounts.workspaces.filter { (workspace, account) ->
+            recallNext || workspace in queues || account.running > 0 || account.changed
+        }
+        return told.map { (workspace, account) ->
             account.changed = false
-            WorkspaceDemand(
-                workspace = workspace,
-                servedUnits = charged[workspace] ?: 0.0,
-                acknowledgedUnits = account.acknowledgedUnits,
-                normalizedUnits = account.normalizedUnits,
-                queuedShort = queue?.shortSize ?: 0,
-                queuedLong = queue?.longSize ?: 0,
-                running = account.running,
-                runningLong = account.runningLong,
-                oldestWaitMillis = queue?.oldestArrivalMillis()?.let { nowMillis - it } ?: 0,
-            )
+            demandOf(nowMillis, workspace, account, charged[workspace] ?: 0.0)
         }
     }
+
+    private fun demandOf(
+        nowMillis: Long,
+        workspace: WorkspaceId,
+        account: WorkspaceAccount,
+        servedUnits: Double,
+    ): WorkspaceDemand {
+        val queue = queues[workspace]
+        return WorkspaceDemand(
+            workspace = workspace,
+            servedUnits = servedUnits,
+            acknowledgedUnits = if (recallNext) account.acknowledgedUnits else 0.0,
+            normalizedUnits = if (recallNext) account.normalizedUnits else 0.0,
+            queuedShort = queue?.shortSize ?: 0,
+            queuedLong = queue?.longSize ?: 0,
+            running = account.running,
+            runningLong = account.runningLong,
+            oldestWaitMillis = queue?.oldestArrivalMillis()?.let { nowMillis - it } ?: 0,
+        )
+    }
+
+    private companion object {
+        /** Reports whose figures are remembered until the owner answers them. */
+        const val MAX_REPORTED = 16
+    }
 }
 
 private fun Allocation.isOlderThan(other: Allocation): Boolean =
--- a/core/src/main/kotlin/buckthornbay/core/pool/PoolOwner.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/PoolOwner.kt
@@ -7,6 +7,7 @@
 import buckthornbay.protocol.ServiceTotals
 import buckthornbay.protocol.SlotGrant
 import buckthornbay.protocol.UpstreamId
+import buckthornbay.protocol.WorkspaceDemand
 import buckthornbay.protocol.WorkspaceId
 import buckthornbay.protocol.WorkspaceOrder
 import buckthornbay.protocol.WorkspaceTotal
@@ -28,13 +29,14 @@
         private set
 
     private val ledger = FairLedger()
-    private val health = UpstreamHealth()
+    private val health = UpstreamHealth(if (plan.streamsProgress) HealthSensitivity.STREAMED else HealthSensitivity.ENDS_ONLY)
     private val views = LinkedHashMap<HostId, HolderView>()
     private val totals = HashMap<WorkspaceId, Double>()
     private val toldTotals = HashMap<WorkspaceId, Double>()
     private val remoteTotals = HashMap<PoolId, RemoteTotals>()
     private var shortSeenAtMillis = Long.MIN_VALUE / 2
     private var dividedAtMillis = Long.MIN_VALUE / 2
+    private var rebalancedAtMillis = Long.MIN_VALUE / 2
     private var totalsVersion = 0L
     private val rate = ServiceRate()
 
@@ -61,6 +63,7 @@
         if (report.epoch > epoch) epoch = report.epoch + 1
         val known = view.incarnation == report.incarnation
         if (!known) restart(view, report)
+        if (known && view.wantsRecall && report.recalls) recall(view, report)
         view.reportVersion = report.version
         view.heardAtMillis = nowMillis
         if (report.epoch == epoch) view.confirm(report.allocationVersion)
@@ -68,11 +71,15 @@
         takeUse(nowMillis, view, report, known)
         observeBacklog(nowMillis)
         divide(nowMillis)
-        return allocationFor(view)
+        return allocationFor(nowMillis, view)
     }
 
-    /** Returns the allocations that changed and that their hosts have not been told yet. */
-    public fun takeChanged(): List<Allocation> = views.values.filter { it.changed }.map { allocationFor(it) }
+    /**
+     * Returns the allocations that changed and that their hosts have not been told yet, each host's at least
+     * [spacingMillis] milliseconds after its last.
+     */
+    public fun takeChanged(nowMillis: Long, spacingMillis: Long): List<Allocation> =
+        views.values.filter { it.changed && nowMillis - it.sentAtMillis >= spacingMillis }.map { allocationFor(nowMillis, it) }
 
     /** Forgets [host], which is gone; its slots go to the others. */
     public fun hostGone(nowMillis: Long, host: HostId) {
@@ -84,7 +91,9 @@
     public fun tick(nowMillis: Long) {
         val silent = views.values.filter { nowMillis - it.heardAtMillis > settings.validForMillis + settings.silenceMarginMillis }
         silent.forEach { views.remove(it.host) }
-        if (silent.isEmpty() && nowMillis - dividedAtMillis < settings.divideMillis) return
+        val busy = views.values.any { it.queued + it.running > 0 }
+        val periodMillis = if (busy) settings.divideMillis else settings.calmDivideMillis
+        if (silent.isEmpty() && nowMillis - dividedAtMillis < periodMillis) return
         observeBacklog(nowMillis)
         divide(nowMillis)
     }
@@ -97,7 +106,7 @@
         totalsVersion++
         val changed = totals.filter { (workspace, units) -> units != toldTotals[workspace] }
         toldTotals.putAll(changed)
-        val entries = changed.map { (workspace, units) -> WorkspaceTotal(workspace, units) }
+        val entries = changed.map { (workspace, units) -> WorkspaceTotal(workspace, rounded(units)) }
         return ServiceTotals(plan.pool, self, startedAtMillis, totalsVersion, entries)
     }
 
@@ -107,7 +116,7 @@
         if (known != null && message.version <= known.version) return
         val before = known?.servedUnits.orEmpty()
         val served = message.totals.associate { it.workspace to it.servedUnits }
-        if (known != null) {
+        if (known != null || message.version == 1L) {
             served.forEach { (workspace, units) ->
                 ledger.add(workspace, units - (before[workspace] ?: 0.0), plan.shareOf(workspace))
             }
@@ -123,10 +132,23 @@
         view.demand.clear()
         view.use.clear()
         view.servedUnits.clear()
-        for (demand in report.workspaces) {
-            ledger.recall(demand.workspace, demand.normalizedUnits)
-            view.servedUnits[demand.workspace] = demand.acknowledgedUnits
-        }
+        view.wantsRecall = !report.recalls && report.version > 1
+        for (demand in report.workspaces) view.servedUnits[demand.workspace] = knownUnits(report, demand)
+        if (report.recalls) report.workspaces.forEach { ledger.recall(it.workspace, it.normalizedUnits) }
+    }
+
+    /**
+     * Returns what was already counted of a host that this owner did not know: all of it, unless the host says or just started.
+     */
+    private fun knownUnits(report: DemandReport, demand: WorkspaceDemand): Double = when {
+        report.recalls -> demand.acknowledgedUnits
+        report.version > 1 -> demand.servedUnits
+        else -> 0.0
+    }
+
+    private fun recall(view: HolderView, report: DemandReport) {
+        view.wantsRecall = false
+        report.workspaces.forEach { ledger.recall(it.workspace, it.normalizedUnits) }
     }
 
     private fun takeDemand(view: HolderView, report: DemandReport) {
@@ -173,38 +195,36 @@
         val capacity = plan.upstreams.associate { it.id to maxOf(1, (it.slots * health.weightOf(it.id)).toInt()) }
         val total = capacity.values.sum()
         val shortComes = nowMillis - shortSeenAtMillis < settings.shortMemoryMillis
-        val longLimit = if (shortComes) maxOf(1, (total * plan.policy.longShare).toInt()) else total
-        val division = SlotDivision(plan, ledger, rate.unitsPerSlot(settings.horizonMillis), longLimit)
-        val shares = division.divide(views.values, total)
-        val placement = SlotPlacement(capacity, views.values)
-        for (view in views.values) {
-            val share = shares.getValue(view.host)
-            val longSlots = if (shortComes) share.longSlots else Int.MAX_VALUE
-            val slots = placement.lower(view, share.slots)
-            if (slots != view.allocated || longSlots != view.longSlots) view.changed = true
-            view.longSlots = longSlots
-            view.allocate(slots)
-        }
-        for (view in views.values.sortedByDescending { shares.getValue(it.host).slots - it.allocated.values.sum() }) {
-            if (placement.raise(view, shares.getValue(view.host).slots)) view.changed = true
-        }
+        val division = SlotDivision(plan, ledger, rate.unitsPerSlot(settings.horizonMillis), plan.policy.longShare)
+        val shares = division.divide(views.values, total, shortComes)
+        views.values.forEach { setLongSlots(it, if (shortComes) shares.getValue(it.host).longSlots else Int.MAX_VALUE) }
+        val mayRebalance = nowMillis - rebalancedAtMillis >= settings.rebalanceMillis
+        if (mayRebalance) rebalancedAtMillis = nowMillis
+        SlotMoves(capacity, views.values, shares.mapValues { it.value.slots }).run(mayRebalance)
+    }
+
+    private fun setLongSlots(view: HolderView, longSlots: Int) {
+        if (longSlots < view.longSlots) view.changed = true
+        view.longSlots = longSlots
     }
 
-    private fun allocationFor(view: HolderView): Allocation {
-        view.sentVersion++
-        view.changed = false
+    private fun allocationFor(nowMillis: Long, view: HolderView): Allocation {
+        view.sentAtMillis = nowMillis
         return Allocation(
             pool = plan.pool,
             host = view.host,
             owner = self,
             epoch = epoch,
-            version = view.sentVersion,
+            version = view.send(),
             validForMillis = settings.validForMillis,
             contended = views.values.any { it.queued > 0 },
             longSlots = view.longSlots,
-            slots = view.allocated.filterValues { it > 0 }.map { (upstream, count) -> SlotGrant(upstream, count) },
-            order = view.demand.keys.map { WorkspaceOrder(it, ledger.normalizedOf(it), view.servedUnits.getValue(it)) },
+            slots = view.allocated.filterValues {
+                it > 0
+            }.map { (upstream, count) -> SlotGrant(upstream, count, health.isSlow(upstream)) },
+            order = view.demand.keys.map { WorkspaceOrder(it, rounded(ledger.normalizedOf(it))) },
             reportVersion = view.reportVersion,
+            wantsRecall = view.wantsRecall,
         )
     }
 }
@@ -214,14 +234,18 @@
  *
  * @property validForMillis how long an allocation holds without a new one, in milliseconds.
  * @property silenceMarginMillis how much longer a silent host's slots stay reserved, in milliseconds.
- * @property divideMillis longest time between two divisions, in milliseconds.
+ * @property divideMillis longest time between two divisions while work is done, in milliseconds.
+ * @property calmDivideMillis longest time between two divisions otherwise, in milliseconds.
  * @property horizonMillis time in which a workspace that is behind is meant to catch up, in milliseconds.
+ * @property rebalanceMillis time between two moves of slots that are in use, in milliseconds.
  * @property shortMemoryMillis how long after short work was last seen its slots stay closed to long work, in milliseconds.
  */
 public data class OwnerSettings(
     public val validForMillis: Long = 5_000,
     public val silenceMarginMillis: Long = 1_000,
     public val divideMillis: Long = 100,
-    public val horizonMillis: Long = 500,
+    public val calmDivideMillis: Long = 1_000,
+    public val horizonMillis: Long = 3_000,
+    public val rebalanceMillis: Long = 500,
     public val shortMemoryMillis: Long = 5_000,
 )
--- a/operator/src/main/kotlin/buckthornbay/operator/DemoCommand.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/DemoCommand.kt
@@ -20,7 +20,6 @@
 import com.github.ajalt.clikt.parameters.types.int
 import com.github.michaelbull.result.getOrElse
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.java.Java
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -59,7 +58,7 @@
     private suspend fun ResourceScope.demo() {
         val standIns = standIns(readStateFile(state))
         val urls = startRouters(standIns)
-        val client = install({ HttpClient(Java) { expectSuccess = false } }, { client, _ -> client.close() })
+        val client = install({ callerClient() }, { client, _ -> client.close() })
         val version = DesiredStateStore(standIns.store).apply(standIns.state, expectedVersion = 0, applyId = "demo")
             .getOrElse { fail("the stand-in platform: $it", EXIT_UNREACHABLE) }
         val adopted = withTimeoutOrNull(ADOPT_MILLIS) { awaitVersion(client, urls, version) }
--- a/operator/src/main/kotlin/buckthornbay/operator/LoadRunner.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/LoadRunner.kt
@@ -20,6 +20,8 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withContext
 import kotlinx.io.IOException
 import org.apache.commons.rng.UniformRandomProvider
@@ -65,7 +67,8 @@
             if (waitMillis > 0) delay(waitMillis)
             val due = dueNanos
             val request = draw(tally.flow, random)
-            scope.launch { send(tally, request, due) }
+            val warmingUp = second < scenario.warmUpSeconds
+            scope.launch { send(if (warmingUp) FlowTally(tally.flow) else tally, request, due) }
         }
     }
 
@@ -155,15 +158,18 @@
     private var known: List<String> = emptyList()
 
     @Volatile
-    private var expiresAtNanos = 0L
+    private var expiresAtNanos = System.nanoTime()
+    private val refreshing = Mutex()
 
     /** Returns one of the addresses; number 0 is always the first. */
     suspend fun pick(number: Int): String {
-        if (System.nanoTime() - expiresAtNanos >= 0 || known.isEmpty()) refresh()
+        if (isStale()) refreshing.withLock { if (isStale()) refresh() }
         val urls = known.ifEmpty { seedUrls }
         return urls[number % urls.size]
     }
 
+    private fun isStale() = System.nanoTime() - expiresAtNanos >= 0
+
     private suspend fun refresh() {
         expiresAtNanos = System.nanoTime() + RETRY_NANOS
         val lists = seedUrls.mapNotNull { ask(it) }
--- a/operator/src/main/kotlin/buckthornbay/operator/LoadScenario.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/LoadScenario.kt
@@ -6,12 +6,14 @@
  * What a load run sends, read from TOML.
  *
  * @property durationSeconds how long new requests are sent.
+ * @property warmUpSeconds how much of that is sent and not counted, in seconds.
  * @property maxRequests most requests of the whole run.
  * @property seed seed of arrival times and sizes.
  */
 @Serializable
 public data class LoadScenario(
     public val durationSeconds: Int = 30,
+    public val warmUpSeconds: Int = 0,
     public val maxRequests: Int = 100_000,
     public val seed: Long = 1,
     public val flows: List<LoadFlow>,
--- a/operator/src/main/kotlin/buckthornbay/operator/OperatorContext.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/OperatorContext.kt
@@ -42,11 +42,7 @@
     val settings: OperatorSettings = readToml(OperatorSettings.serializer(), file.readText())
         .getOrElse { command.failFile(file, it) }
         .value
-    val client: HttpClient = HttpClient(Java) {
-        expectSuccess = false
-        engine { protocolVersion = java.net.http.HttpClient.Version.HTTP_1_1 }
-        install(HttpTimeout)
-    }
+    val client: HttpClient = callerClient()
     val states: DesiredStateStore = DesiredStateStore(HttpObjectStore(client, settings.platformUrl))
     val routers: RouterApi = RouterApi(client, settings.operatorKey)
 
@@ -68,6 +64,14 @@
     override fun close() = client.close()
 }
 
+/** Returns a client that speaks HTTP/1.1 and leaves statuses to its user. */
+internal fun callerClient(): HttpClient =
+    HttpClient(Java) {
+        expectSuccess = false
+        engine { protocolVersion = java.net.http.HttpClient.Version.HTTP_1_1 }
+        install(HttpTimeout)
+    }
+
 /** Reads a desired state from [file] or ends the command with all its problems. */
 internal fun CliktCommand.readStateFile(file: File): DesiredState =
     readDesiredState(file.readText()).getOrElse { failFile(file, it) }
--- a/protocol/src/main/kotlin/buckthornbay/protocol/Identifiers.kt
+++ b/protocol/src/main/kotlin/buckthornbay/protocol/Identifiers.kt
@@ -1,6 +1,12 @@
 package buckthornbay.protocol
 
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
 
 /** Names one router process's place in the fleet; stable across restarts of that process. */
 @Serializable
@@ -56,7 +62,18 @@
  *
  * The text form is `service@region`.
  */
-@Serializable
+@Serializable(with = PoolIdSerializer::class)
 public data class PoolId(public val service: ServiceId, public val region: RegionId) {
     override fun toString(): String = "${service.value}@${region.value}"
 }
+
+internal object PoolIdSerializer : KSerializer<PoolId> {
+    override val descriptor: SerialDescriptor = PrimitiveSerialDescriptor("buckthornbay.protocol.PoolId", PrimitiveKind.STRING)
+
+    override fun serialize(encoder: Encoder, value: PoolId) = encoder.encodeString(value.toString())
+
+    override fun deserialize(decoder: Decoder): PoolId {
+        val text = decoder.decodeString()
+        return PoolId(ServiceId(text.substringBeforeLast('@')), RegionId(text.substringAfterLast('@')))
+    }
+}
--- a/protocol/src/main/kotlin/buckthornbay/protocol/PeerMessage.kt
+++ b/protocol/src/main/kotlin/buckthornbay/protocol/PeerMessage.kt
@@ -92,7 +92,7 @@
  * @property allocationVersion the last allocation that the host obeys.
  * @property workspaces one entry for each workspace that has work or has changed.
  * @property upstreams what the host saw of each upstream that it used.
- * @property borrower whether the reporter is the owner of another region's pool that asks for idle slots.
+ * @property recalls whether the workspaces' entries tell what an earlier owner counted, for an owner that does not know.
  */
 @Serializable
 @SerialName("dr")
@@ -105,15 +105,15 @@
     @SerialName("a") public val allocationVersion: Long = 0,
     @SerialName("w") public val workspaces: List<WorkspaceDemand> = emptyList(),
     @SerialName("u") public val upstreams: List<UpstreamUse> = emptyList(),
-    @SerialName("b") public val borrower: Boolean = false,
+    @SerialName("f") public val recalls: Boolean = false,
 ) : PeerMessage
 
 /**
  * One workspace's figures in a [DemandReport].
  *
  * @property servedUnits cumulative service since the reporter started, in cost units, running requests included.
- * @property acknowledgedUnits the part of [servedUnits] that [normalizedUnits] already counts.
- * @property normalizedUnits the owner's figure for this workspace as the reporter last heard it, in cost units a share.
+ * @property acknowledgedUnits the part of [servedUnits] that [normalizedUnits] already counts; told where the report recalls.
+ * @property normalizedUnits an earlier owner's figure for this workspace, in cost units a share; told where the report recalls.
  * @property queuedShort short requests that wait.
  * @property queuedLong long requests that wait.
  * @property running requests that run, long ones included.
@@ -160,6 +160,8 @@
  * @property validForMillis how long after its arrival the allocation holds, in milliseconds.
  * @property contended whether work waits somewhere in the pool.
  * @property longSlots how many long requests the host may run at once in this pool.
+ * @property reportVersion the host's last report that the allocation counts.
+ * @property wantsRecall whether the owner asks for a report that recalls, because it does not know the host's past.
  */
 @Serializable
 @SerialName("al")
@@ -175,23 +177,31 @@
     @SerialName("s") public val slots: List<SlotGrant> = emptyList(),
     @SerialName("n") public val order: List<WorkspaceOrder> = emptyList(),
     @SerialName("r") public val reportVersion: Long = 0,
+    @SerialName("f") public val wantsRecall: Boolean = false,
 ) : PeerMessage
 
-/** Slots at one upstream in an [Allocation]. */
+/**
+ * Slots at one upstream in an [Allocation].
+ *
+ * @property probeOnly whether the upstream is set aside as slow, so that its slots are for copies that probe it.
+ */
 @Serializable
-public data class SlotGrant(@SerialName("u") public val upstream: UpstreamId, @SerialName("n") public val slots: Int)
+public data class SlotGrant(
+    @SerialName("u") public val upstream: UpstreamId,
+    @SerialName("n") public val slots: Int,
+    @SerialName("p") public val probeOnly: Boolean = false,
+)
 
 /**
  * One workspace's place in the order of service.
  *
- * @property normalizedUnits service received across the fleet, in cost units a share; the least is served next.
- * @property acknowledgedUnits the reporter's cumulative service that this figure counts, in cost units.
+ * @property normalizedUnits service received across the fleet, in cost units a share; the least is served next. It counts the
+ * host's own service up to the report that the allocation answers.
  */
 @Serializable
 public data class WorkspaceOrder(
     @SerialName("w") public val workspace: WorkspaceId,
     @SerialName("n") public val normalizedUnits: Double,
-    @SerialName("k") public val acknowledgedUnits: Double,
 )
 
 /**
--- a/router/src/main/kotlin/buckthornbay/router/FleetRoutes.kt
+++ b/router/src/main/kotlin/buckthornbay/router/FleetRoutes.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router
 
 import buckthornbay.core.node.NodeEffect
+import buckthornbay.protocol.EnvelopeDecoder
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.PeerEnvelope
 import buckthornbay.protocol.PeerMessage
@@ -11,12 +12,14 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.request.header
+import io.ktor.server.request.receiveChannel
 import io.ktor.server.request.receiveText
 import io.ktor.server.response.respond
 import io.ktor.server.response.respondText
 import io.ktor.server.routing.Route
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
+import io.ktor.utils.io.readAvailable
 
 /** The routes that peers, operators and monitoring use. */
 internal class FleetRoutes(
@@ -27,6 +30,7 @@
 ) {
     fun install(route: Route) {
         route.post("/internal/v1/messages") { call.guarded(context.settings.fleetKey) { messages() } }
+        route.post("/internal/v1/stream") { call.guarded(context.settings.fleetKey) { stream() } }
         route.get("/internal/v1/state") { call.guarded(context.settings.fleetKey) { state() } }
         route.get("/operator/v1/status") { call.guarded(context.settings.operatorKey) { status() } }
         route.get("/operator/v1/state") { call.guarded(context.settings.operatorKey) { state() } }
@@ -53,14 +57,33 @@
 
     private suspend fun ApplicationCall.messages() {
         val envelope = WireJson.decodeFromString(PeerEnvelope.serializer(), receiveText())
+        transport.heardFrom(envelope.from)
         val effects = context.loop.ask { node, now -> node.receive(now, envelope) }
         val replies = ArrayList<PeerMessage>()
         effects.forEach { if (it.isReplyTo(envelope.from)) replies += (it as NodeEffect.Send).messages else runEffect.run(it) }
         val body = WireJson.encodeToString(PeerEnvelope.serializer(), transport.envelope(replies))
-        transport.countBytes(body.length)
+        transport.countBytes(body.length + RESPONSE_HEAD_BYTES)
         respondText(body, ContentType.Application.Json)
     }
 
+    private suspend fun ApplicationCall.stream() {
+        val channel = receiveChannel()
+        val buffer = ByteArray(BUFFER_BYTES)
+        EnvelopeDecoder().use { decoder ->
+            while (true) {
+                val count = channel.readAvailable(buffer)
+                if (count < 0) break
+                decoder.decode(buffer, count).forEach(::take)
+            }
+        }
+        respond(HttpStatusCode.NoContent)
+    }
+
+    private fun take(envelope: PeerEnvelope) {
+        transport.heardFrom(envelope.from)
+        context.loop.post { node, now -> node.receive(now, envelope) }
+    }
+
     private suspend fun ApplicationCall.state() {
         val state = context.catalog()?.state
         if (state == null) {
@@ -98,4 +121,11 @@
     }
 
     private fun NodeEffect.isReplyTo(host: HostId) = this is NodeEffect.Send && this.host == host
+
+    private companion object {
+        const val BUFFER_BYTES = 4_096
+
+        /** What the head of an answer to a peer takes. */
+        const val RESPONSE_HEAD_BYTES = 100
+    }
 }
--- a/router/src/main/kotlin/buckthornbay/router/NodeLoop.kt
+++ b/router/src/main/kotlin/buckthornbay/router/NodeLoop.kt
@@ -62,6 +62,6 @@
 
     private companion object {
         const val EXIT_BROKEN_INVARIANT = 70
-        const val TICK_MILLIS = 10L
+        const val TICK_MILLIS = 20L
     }
 }
--- a/router/src/main/kotlin/buckthornbay/router/RequestDriver.kt
+++ b/router/src/main/kotlin/buckthornbay/router/RequestDriver.kt
@@ -164,8 +164,8 @@
             }
             note("sent to $upstreamId")
             running[id] = CostMeter(request.service.cost, clock.nowMillis()) { units ->
-                context.loop.post { node, now ->
-                    node.progress(now, request.pool, id, units)
+                context.loop.post { node, _ ->
+                    node.progress(request.pool, id, units)
                     emptyList()
                 }
             }
@@ -239,7 +239,7 @@
             return RequestEnd.ANSWERED
         }
         lifecycle.answering()
-        reportProgress(winner.id, meter)
+        noteAnswering(winner.id)
         return stream(scope, winner, head, meter)
     }
 
@@ -270,8 +270,8 @@
         AfterFailure.Resume -> error("only a begun answer can be resumed")
     }
 
-    private fun reportProgress(id: RequestId, meter: CostMeter) = context.loop.post { node, now ->
-        node.progress(now, request.pool, id, meter.units)
+    private fun noteAnswering(id: RequestId) = context.loop.post { node, now ->
+        node.answering(now, request.pool, id)
         emptyList()
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/RouterProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/RouterProcess.kt
@@ -63,7 +63,7 @@
         install(HttpTimeout) { connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS }
     }
     private val metrics = RouterMetrics()
-    private val transport = PeerTransport(settings, incarnation, pooled, scope, loop, metrics)
+    private val transport = PeerTransport(settings, incarnation, PeerClients(pooled, fresh), scope, loop, metrics, SystemClock)
     private val platform = HttpObjectStore(pooled, settings.platformUrl)
     private val watcher = StateWatcher(DesiredStateStore(platform), platform, loop, scope)
     private val chart: StateChart<HostState, HostEvent> = loadChart("host", HostState.entries, HostEvent.entries)
