Prove the pure decisions by tables

Cause: the decisions stood without tests of their own.

An idle router ticks ten times a second, a busy one fifty.

Found and mended: writing a desired state wrote nulls that could not be read back; it leaves absent fields out now.

--- a/core/src/main/kotlin/buckthornbay/core/chart/StateChart.kt
+++ b/core/src/main/kotlin/buckthornbay/core/chart/StateChart.kt
@@ -40,7 +40,16 @@
 public fun <S : Enum<S>, E : Enum<E>> loadChart(name: String, states: EnumEntries<S>, events: EnumEntries<E>): StateChart<S, E> {
     val resource = "charts/$name.toml"
     val stream = checkNotNull(StateChart::class.java.classLoader.getResourceAsStream(resource)) { "there is no $resource" }
-    val text = stream.use { it.readBytes().decodeToString() }
+    return parseChart(resource, stream.use { it.readBytes().decodeToString() }, states, events)
+}
+
+/** Reads a chart from [text]; [resource] names it in errors. */
+internal fun <S : Enum<S>, E : Enum<E>> parseChart(
+    resource: String,
+    text: String,
+    states: EnumEntries<S>,
+    events: EnumEntries<E>,
+): StateChart<S, E> {
     val document = readToml(ChartFile.serializer(), text).getOrElse { problems ->
         error("$resource: ${problems.joinToString("; ")}")
     }
--- a/core/src/main/kotlin/buckthornbay/core/node/PoolTable.kt
+++ b/core/src/main/kotlin/buckthornbay/core/node/PoolTable.kt
@@ -26,6 +26,9 @@
     /** What adopting a new plan made this host's side of [pool] decide. */
     data class PlanChange(val pool: PoolId, val effects: List<HolderEffect>)
 
+    val isBusy: Boolean
+        get() = owned.values.any { it.isBusy } || holders.values.any { it.runningCount + it.queuedCount > 0 }
+
     fun holders(): Map<PoolId, PoolHolder> = holders
 
     fun owned(): Map<PoolId, PoolOwner> = owned
--- a/core/src/main/kotlin/buckthornbay/core/node/RouterNode.kt
+++ b/core/src/main/kotlin/buckthornbay/core/node/RouterNode.kt
@@ -56,6 +56,9 @@
     /** The desired state in force; null until the first one arrives. */
     public val state: VersionedState? get() = adoption.current
 
+    /** Whether requests wait or run here or in a pool that this host owns, so that time must be told often. */
+    public val isBusy: Boolean get() = pools.isBusy
+
     /** The hosts that take part in decisions. */
     public val liveMembers: List<Member> get() = membership.live()
 
@@ -125,7 +128,7 @@
         return followMembers(nowMillis) + announce()
     }
 
-    /** Lets time pass: heartbeats, deadlines, renewals. To be called every few milliseconds. */
+    /** Lets time pass: heartbeats, deadlines, renewals. To be called every few milliseconds while [isBusy], else a few times a second. */
     public fun tick(nowMillis: Long): List<NodeEffect> {
         val effects = ArrayList<NodeEffect>()
         membership.tick(nowMillis, hostReport()).forEach { effects += send(it) }
--- a/core/src/main/kotlin/buckthornbay/core/pool/PoolOwner.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/PoolOwner.kt
@@ -47,6 +47,9 @@
         val servedUnits: Map<WorkspaceId, Double>,
     )
 
+    /** Whether requests wait or run in the pool. */
+    public val isBusy: Boolean get() = views.values.any { it.queued + it.running > 0 }
+
     /** The hosts that use the pool. */
     public val hosts: Set<HostId> get() = views.keys
 
@@ -91,8 +94,7 @@
     public fun tick(nowMillis: Long) {
         val silent = views.values.filter { nowMillis - it.heardAtMillis > settings.validForMillis + settings.silenceMarginMillis }
         silent.forEach { views.remove(it.host) }
-        val busy = views.values.any { it.queued + it.running > 0 }
-        val periodMillis = if (busy) settings.divideMillis else settings.calmDivideMillis
+        val periodMillis = if (isBusy) settings.divideMillis else settings.calmDivideMillis
         if (silent.isEmpty() && nowMillis - dividedAtMillis < periodMillis) return
         observeBacklog(nowMillis)
         divide(nowMillis)
--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/pool/PoolOwnerTest.kt
@@ -0,0 +1,151 @@
+package buckthornbay.core.pool
+
+import buckthornbay.protocol.Allocation
+import buckthornbay.protocol.DemandReport
+import buckthornbay.protocol.FleetPolicy
+import buckthornbay.protocol.HostId
+import buckthornbay.protocol.LatencyClass
+import buckthornbay.protocol.PoolId
+import buckthornbay.protocol.RegionId
+import buckthornbay.protocol.RequestId
+import buckthornbay.protocol.Service
+import buckthornbay.protocol.ServiceId
+import buckthornbay.protocol.ServiceKind
+import buckthornbay.protocol.Upstream
+import buckthornbay.protocol.UpstreamId
+import buckthornbay.protocol.WorkspaceDemand
+import buckthornbay.protocol.WorkspaceId
+import buckthornbay.protocol.ZoneId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class PoolOwnerTest {
+    private val pool = PoolId(ServiceId("s"), RegionId("r"))
+    private val near = HostId("near")
+    private val other = HostId("other")
+
+    private fun plan(upstreams: Int = 2, slots: Int = 4, shares: Map<String, Double> = mapOf("a" to 1.0, "b" to 1.0)) =
+        PoolPlan(
+            pool,
+            Service(pool.service, ServiceKind.MODEL, classes = listOf(LatencyClass("short", 1_000, 10.0))),
+            (0 until upstreams).map { Upstream(UpstreamId("u$it"), pool.service, pool.region, ZoneId("z"), "http://u$it", slots) },
+            shares.mapKeys { WorkspaceId(it.key) },
+            FleetPolicy(),
+        )
+
+    private fun owner(plan: PoolPlan = plan()) = PoolOwner(near, epoch = 1, plan, startedAtMillis = 0)
+
+    private fun report(host: HostId, version: Long, obeys: Long = 0, vararg demand: WorkspaceDemand) =
+        DemandReport(pool, host, incarnation = 1, version, epoch = 1, allocationVersion = obeys, workspaces = demand.toList())
+
+    private fun queued(workspace: String, count: Int) = WorkspaceDemand(WorkspaceId(workspace), queuedShort = count)
+
+    private fun Allocation.count(): Int = slots.sumOf { it.slots }
+
+    @Test
+    fun idleSlotsStandReadyAtAllHostsEvenlyButForOne() {
+        val owner = owner()
+        owner.receive(0, report(near, 1))
+        owner.receive(1, report(other, 1))
+        val settled = assertNotNull(owner.receive(1_000, report(near, 2, obeys = 1)))
+        owner.receive(1_001, report(other, 2, obeys = 1))
+        assertTrue(settled.count() in 4..5, "${settled.count()} of 8 slots")
+    }
+
+    @Test
+    fun noSlotIsPromisedBeforeTheHostThatHadItConfirmsItsLoss() {
+        val owner = owner()
+        val first = assertNotNull(owner.receive(0, report(near, 1)))
+        assertEquals(8, first.count())
+        val asked = assertNotNull(owner.receive(10, report(other, 1, obeys = 0, queued("a", 6))))
+        assertEquals(0, asked.count())
+        val lowered = owner.takeChanged(11, spacingMillis = 0).single { it.host == near }
+        assertEquals(0, assertNotNull(owner.receive(12, report(other, 2, obeys = 1, queued("a", 6)))).count())
+        owner.receive(20, report(near, 2, obeys = lowered.version))
+        val granted = assertNotNull(owner.receive(21, report(other, 3, obeys = 2, queued("a", 6))))
+        assertEquals(8 - lowered.count(), granted.count())
+    }
+
+    @Test
+    fun aDoubledOrReorderedReportChangesNothing() {
+        val owner = owner()
+        owner.receive(0, report(near, 2, 0, queued("a", 3)))
+        assertNull(owner.receive(1, report(near, 2, 0, queued("a", 9))))
+        assertNull(owner.receive(2, report(near, 1, 0, queued("a", 9))))
+    }
+
+    @Test
+    fun slotsFollowSharesWhenAllAreBacklogged() {
+        val owner = owner(plan(upstreams = 3, slots = 4, shares = mapOf("a" to 2.0, "b" to 1.0)))
+        owner.receive(0, report(near, 1, 0, queued("a", 50)))
+        owner.receive(0, report(other, 1, 0, queued("b", 50)))
+        var allocations = emptyMap<HostId, Allocation>()
+        for (round in 2L..20L) {
+            val now = round * 500
+            allocations = listOf(near to "a", other to "b").associate { (host, workspace) ->
+                val obeys = allocations[host]?.version ?: 0
+                host to assertNotNull(owner.receive(now, report(host, round, obeys, queued(workspace, 50))))
+            }
+        }
+        assertEquals(12, allocations.values.sumOf { it.count() })
+        assertTrue(allocations.getValue(near).count() in 7..9, "${allocations.mapValues { it.value.count() }}")
+    }
+
+    @Test
+    fun anOwnerThatMeetsAHigherEpochRisesAboveIt() {
+        val owner = owner()
+        val answer = assertNotNull(owner.receive(0, report(near, 1).copy(epoch = 9)))
+        assertTrue(answer.epoch > 9)
+    }
+
+    @Test
+    fun aNewOwnerTakesOverWhatTheHostsRemember() {
+        val owner = owner()
+        val remembered = WorkspaceDemand(
+            WorkspaceId("a"),
+            servedUnits = 120.0,
+            acknowledgedUnits = 100.0,
+            normalizedUnits = 500.0,
+            queuedShort = 1,
+        )
+        val answer = assertNotNull(owner.receive(0, report(near, 7, 0, remembered).copy(recalls = true)))
+        assertEquals(520.0, answer.order.single().normalizedUnits)
+    }
+
+    @Test
+    fun aHolderWithoutAnOwnerUsesItsFallbackShareAndStopsWhenTheOwnerIsBack() {
+        val holder = PoolHolder(near, incarnation = 1, plan())
+        holder.setFallback(FallbackShare(rank = 0, hosts = 2))
+        val request = request("q1")
+        assertTrue(holder.arrive(0, request).none { it is HolderEffect.Dispatch })
+        val later = (20L..400L step 20).flatMap { holder.tick(it) }
+        assertEquals(1, later.count { it is HolderEffect.Dispatch })
+        val allocation = Allocation(pool, near, other, epoch = 1, version = 1, validForMillis = 5_000)
+        holder.allocate(500, allocation)
+        assertTrue(holder.arrive(501, request("q2")).none { it is HolderEffect.Dispatch })
+    }
+
+    @Test
+    fun fallbackSharesOfAllHostsAddUpToTheSlots() {
+        val upstream = plan().upstreams.first().copy(slots = 7)
+        for (hosts in 1..9) assertEquals(7, (0 until hosts).sumOf { FallbackShare(it, hosts).slotsOf(upstream) })
+    }
+
+    @Test
+    fun aWorkspaceThatWasIdleIsOwedNothing() {
+        val ledger = FairLedger()
+        val busy = WorkspaceId("busy")
+        val idler = WorkspaceId("idler")
+        ledger.observe(0, setOf(busy), setOf(busy))
+        ledger.add(busy, 1_000.0, share = 1.0)
+        ledger.observe(10, setOf(busy), setOf(busy))
+        ledger.observe(20, setOf(busy, idler), setOf(busy, idler))
+        assertEquals(ledger.normalizedOf(busy), ledger.normalizedOf(idler))
+    }
+
+    private fun request(id: String) =
+        PoolRequest(RequestId(id), WorkspaceId("a"), "short", false, 10.0, arrivedAtMillis = 0, deadlineAtMillis = 60_000)
+}
--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/request/RequestLifecycleTest.kt
@@ -0,0 +1,95 @@
+package buckthornbay.core.request
+
+import buckthornbay.protocol.RequestEnd
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class RequestLifecycleTest {
+    private val generous = RetryBudget(1.0)
+
+    private fun sending(unrepeatable: Boolean, budget: RetryBudget = generous) =
+        RequestLifecycle(unrepeatable, resumable = false, budget).apply {
+            queued()
+            dispatched()
+        }
+
+    private class Case(val unrepeatable: Boolean, val kind: FailureKind, val expected: AfterFailure)
+
+    @Test
+    fun whatFollowsTheFirstFailureDependsOnWhatMayHaveBeenWritten() {
+        val cases = listOf(
+            Case(false, FailureKind.NOT_CONNECTED, AfterFailure.Retry),
+            Case(false, FailureKind.REFUSED_UNREAD, AfterFailure.Retry),
+            Case(false, FailureKind.BROKEN_BEFORE_ANSWER, AfterFailure.Retry),
+            Case(false, FailureKind.CALLER_LEFT, AfterFailure.End(RequestEnd.FAILED)),
+            Case(true, FailureKind.NOT_CONNECTED, AfterFailure.Retry),
+            Case(true, FailureKind.REFUSED_UNREAD, AfterFailure.Retry),
+            Case(true, FailureKind.BROKEN_BEFORE_ANSWER, AfterFailure.End(RequestEnd.UNKNOWN)),
+            Case(true, FailureKind.CALLER_LEFT, AfterFailure.End(RequestEnd.UNKNOWN)),
+        )
+        for (case in cases) {
+            val label = "unrepeatable=${case.unrepeatable} ${case.kind}"
+            assertEquals(case.expected, sending(case.unrepeatable).failed(case.kind), label)
+        }
+    }
+
+    @Test
+    fun everySequenceOfFailuresEndsOnceAndNotRunOnlyIfNothingWasWritten() {
+        val kinds = FailureKind.entries - FailureKind.BROKEN_IN_ANSWER
+        for (unrepeatable in listOf(false, true)) {
+            for (first in kinds) for (second in kinds) for (third in kinds) {
+                val tried = listOf(first, second, third)
+                val seen = run(unrepeatable, tried)
+                val written = seen.kinds.any { it != FailureKind.NOT_CONNECTED && it != FailureKind.REFUSED_UNREAD }
+                assertEquals(!written, seen.end == RequestEnd.NOT_RUN, "unrepeatable=$unrepeatable $tried")
+                val writes = seen.kinds.count { it != FailureKind.NOT_CONNECTED && it != FailureKind.REFUSED_UNREAD }
+                if (unrepeatable) assertTrue(writes <= 1, "$tried wrote $writes times")
+            }
+        }
+    }
+
+    private class Seen(val kinds: List<FailureKind>, val end: RequestEnd)
+
+    private fun run(unrepeatable: Boolean, tried: List<FailureKind>): Seen {
+        val lifecycle = RequestLifecycle(unrepeatable, resumable = false, RetryBudget(1.0))
+        val happened = ArrayList<FailureKind>()
+        for (kind in tried) {
+            lifecycle.queued()
+            lifecycle.dispatched()
+            happened += kind
+            val after = lifecycle.failed(kind)
+            if (after is AfterFailure.End) return Seen(happened, after.end)
+        }
+        lifecycle.queued()
+        return Seen(happened, (lifecycle.refused() as AfterFailure.End).end)
+    }
+
+    @Test
+    fun aRequestRefusedAfterAWrittenAttemptIsNotSaidToBeNotRun() {
+        val lifecycle = sending(unrepeatable = false)
+        assertEquals(AfterFailure.Retry, lifecycle.failed(FailureKind.BROKEN_BEFORE_ANSWER))
+        assertEquals(AfterFailure.End(RequestEnd.FAILED), lifecycle.refused())
+    }
+
+    @Test
+    fun aBegunAnswerIsResumedWhereTheUpstreamCanAndFailsOtherwise() {
+        val resumable = RequestLifecycle(unrepeatable = false, resumable = true, generous).apply {
+            queued()
+            dispatched()
+            answering()
+        }
+        repeat(3) { assertEquals(AfterFailure.Resume, resumable.failed(FailureKind.BROKEN_IN_ANSWER)) }
+        assertEquals(AfterFailure.End(RequestEnd.FAILED), resumable.failed(FailureKind.BROKEN_IN_ANSWER))
+        val plain = sending(unrepeatable = false).apply { answering() }
+        assertEquals(AfterFailure.End(RequestEnd.FAILED), plain.failed(FailureKind.BROKEN_IN_ANSWER))
+    }
+
+    @Test
+    fun retriesNeverAddMoreThanTheirBudgetToTheLoad() {
+        val budget = RetryBudget(0.1)
+        var retries = 0
+        repeat(1_000) { if (sending(false, budget).failed(FailureKind.BROKEN_BEFORE_ANSWER) == AfterFailure.Retry) retries++ }
+        assertTrue(retries <= 1_000 / 10 + 3, "$retries retries for 1,000 requests")
+    }
+}
--- a/protocol/src/main/kotlin/buckthornbay/protocol/TomlDocument.kt
+++ b/protocol/src/main/kotlin/buckthornbay/protocol/TomlDocument.kt
@@ -66,7 +66,9 @@
 }
 
 /** Writes [state] as the TOML that [readToml] reads. */
-public fun writeToml(state: DesiredState): String = Toml.encodeToString(DesiredState.serializer(), state)
+public fun writeToml(state: DesiredState): String = writer.encodeToString(DesiredState.serializer(), state)
+
+private val writer = Toml { explicitNulls = false }
 
 private fun TomlTable.toJsonObject(): JsonObject = JsonObject(keySet().associateWith { toJsonElement(get(listOf(it))) })
 
--- a/router/src/main/kotlin/buckthornbay/router/NodeLoop.kt
+++ b/router/src/main/kotlin/buckthornbay/router/NodeLoop.kt
@@ -47,7 +47,7 @@
         scope.launch(dispatcher + brokenInvariant) {
             while (isActive) {
                 node.tick(clock.nowMillis()).forEach(effects::run)
-                delay(TICK_MILLIS)
+                delay(if (node.isBusy) BUSY_TICK_MILLIS else CALM_TICK_MILLIS)
             }
         }
     }
@@ -62,6 +62,7 @@
 
     private companion object {
         const val EXIT_BROKEN_INVARIANT = 70
-        const val TICK_MILLIS = 20L
+        const val BUSY_TICK_MILLIS = 20L
+        const val CALM_TICK_MILLIS = 100L
     }
 }
