Hold the promises through every pair of faults in virtual time

Found: a new owner granted all slots to the first host that reported; a host that came back from the other side of a partition told its peers that live hosts were dead, and they believed it, so that a third owner appeared; the bench dropped what reached a paused host, where a socket would have kept it.

Change: a new owner listens for 250 ms before it promises anything; a rumor of death is a suspicion at first, and none is believed of a host that was just heard from; the bench keeps what reaches a paused host.

--- a/core/src/main/kotlin/buckthornbay/core/membership/Membership.kt
+++ b/core/src/main/kotlin/buckthornbay/core/membership/Membership.kt
@@ -31,6 +31,7 @@
 
     private class Known(var member: Member, var changedAtMillis: Long, var toldLeft: Int) {
         var askedAtMillis: Long? = null
+        var heardAtMillis = Long.MIN_VALUE / 2
     }
 
     /** This host as its peers should know it. */
@@ -86,6 +87,7 @@
         val sender = heartbeat.sender
         val isNew = sender.host !in members
         hearFrom(nowMillis, sender)
+        heardFrom(nowMillis, sender.host)
         loads[sender.host] = heartbeat.loadPermille
         versions[sender.host] = heartbeat.stateVersion
         heartbeat.members.forEach { learn(nowMillis, it) }
@@ -94,6 +96,11 @@
         return HeartbeatOut(sender.url, heartbeat(status, reply = true, to = sender.host, extra))
     }
 
+    /** Notes that something came from [host]. */
+    public fun heardFrom(nowMillis: Long, host: HostId) {
+        members[host]?.heardAtMillis = nowMillis
+    }
+
     /** Notes that [host] did not answer. */
     public fun unreachable(nowMillis: Long, host: HostId) {
         val known = members[host] ?: return
@@ -124,7 +131,21 @@
         when {
             known == null && rumor.status != MemberStatus.DEAD ->
                 members[rumor.host] = Known(rumor, nowMillis, tellCount())
-            known != null && rumor.replaces(known.member) -> change(nowMillis, known, rumor)
+            known != null && rumor.replaces(known.member) -> believe(nowMillis, known, rumor)
+        }
+    }
+
+    /**
+     * Takes over a rumor, but for doubts about a host that was just heard from. A death is only a suspicion at first: the two sides
+     * of a partition tell each other such rumors when they meet again, and a live host needs the time to refute them.
+     */
+    private fun believe(nowMillis: Long, known: Known, rumor: Member) {
+        val doubts = rumor.status == MemberStatus.SUSPECT || rumor.status == MemberStatus.DEAD
+        when {
+            doubts && nowMillis - known.heardAtMillis < settings.suspectMillis -> Unit
+            rumor.status == MemberStatus.DEAD && known.member.status == MemberStatus.ALIVE ->
+                change(nowMillis, known, rumor.copy(status = MemberStatus.SUSPECT))
+            else -> change(nowMillis, known, rumor)
         }
     }
 
--- a/core/src/main/kotlin/buckthornbay/core/node/RouterNode.kt
+++ b/core/src/main/kotlin/buckthornbay/core/node/RouterNode.kt
@@ -97,8 +97,10 @@
     }
 
     /** Takes in what a peer sent. */
-    public fun receive(nowMillis: Long, envelope: PeerEnvelope): List<NodeEffect> =
-        envelope.messages.flatMap { receive(nowMillis, it) } + followMembers(nowMillis)
+    public fun receive(nowMillis: Long, envelope: PeerEnvelope): List<NodeEffect> {
+        membership.heardFrom(nowMillis, envelope.from)
+        return envelope.messages.flatMap { receive(nowMillis, it) } + followMembers(nowMillis)
+    }
 
     /** Notes that [host] did not answer. */
     public fun unreachable(nowMillis: Long, host: HostId): List<NodeEffect> {
--- a/core/src/main/kotlin/buckthornbay/core/pool/PoolOwner.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/PoolOwner.kt
@@ -56,10 +56,10 @@
     /** Takes up a new plan of the pool; upstreams that it no longer names get no new slots. */
     public fun adopt(nowMillis: Long, newer: PoolPlan) {
         plan = newer
-        divide(nowMillis)
+        if (!isLearning(nowMillis)) divide(nowMillis)
     }
 
-    /** Takes in a host's [report] and returns the allocation that answers it; null where a later report came before. */
+    /** Takes in a host's [report] and returns its answer; null where a later report came before or the owner still listens. */
     public fun receive(nowMillis: Long, report: DemandReport): Allocation? {
         val view = views.getOrPut(report.host) { HolderView(report.host) }
         if (!view.accepts(report)) return null
@@ -72,11 +72,15 @@
         if (report.epoch == epoch) view.confirm(report.allocationVersion)
         takeDemand(view, report)
         takeUse(nowMillis, view, report, known)
+        if (isLearning(nowMillis)) return null
         observeBacklog(nowMillis)
         divide(nowMillis)
         return allocationFor(nowMillis, view)
     }
 
+    /** Whether the owner is so new that hosts which use the pool may not have reported to it yet. */
+    private fun isLearning(nowMillis: Long): Boolean = nowMillis - startedAtMillis < settings.learnMillis
+
     /**
      * Returns the allocations that changed and that their hosts have not been told yet, each host's at least
      * [spacingMillis] milliseconds after its last.
@@ -87,7 +91,7 @@
     /** Forgets [host], which is gone; its slots go to the others. */
     public fun hostGone(nowMillis: Long, host: HostId) {
         views.remove(host) ?: return
-        divide(nowMillis)
+        if (!isLearning(nowMillis)) divide(nowMillis)
     }
 
     /** Forgets silent hosts and judges the upstreams again. */
@@ -95,6 +99,7 @@
         val silent = views.values.filter { nowMillis - it.heardAtMillis > settings.validForMillis + settings.silenceMarginMillis }
         silent.forEach { views.remove(it.host) }
         val periodMillis = if (isBusy) settings.divideMillis else settings.calmDivideMillis
+        if (isLearning(nowMillis)) return
         if (silent.isEmpty() && nowMillis - dividedAtMillis < periodMillis) return
         observeBacklog(nowMillis)
         divide(nowMillis)
@@ -236,6 +241,7 @@
  *
  * @property validForMillis how long an allocation holds without a new one, in milliseconds.
  * @property silenceMarginMillis how much longer a silent host's slots stay reserved, in milliseconds.
+ * @property learnMillis how long a new owner listens before it promises anything, in milliseconds.
  * @property divideMillis longest time between two divisions while work is done, in milliseconds.
  * @property calmDivideMillis longest time between two divisions otherwise, in milliseconds.
  * @property horizonMillis time in which a workspace that is behind is meant to catch up, in milliseconds.
@@ -245,6 +251,7 @@
 public data class OwnerSettings(
     public val validForMillis: Long = 5_000,
     public val silenceMarginMillis: Long = 1_000,
+    public val learnMillis: Long = 250,
     public val divideMillis: Long = 100,
     public val calmDivideMillis: Long = 1_000,
     public val horizonMillis: Long = 3_000,
--- a/core/src/test/kotlin/buckthornbay/core/membership/MembershipTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/membership/MembershipTest.kt
@@ -99,6 +99,17 @@
         assertTrue(HostId("h1") in watcher.live().map { it.host })
     }
 
+    @Test
+    fun aRumorOfDeathFromTheOtherSideOfAPartitionRemovesNobodyAtOnce() {
+        val watcher = membership(number = 0, seeds = 0)
+        watcher.receive(0, Heartbeat(member(1, incarnation = 1)), quiet)
+        val rumor = member(1, incarnation = 1).copy(status = MemberStatus.DEAD)
+        watcher.receive(100, Heartbeat(member(2, 1), listOf(rumor)), quiet)
+        assertEquals(MemberStatus.ALIVE, watcher.find(HostId("h1"))?.status)
+        watcher.receive(20_000, Heartbeat(member(2, 1), listOf(rumor)), quiet)
+        assertEquals(MemberStatus.SUSPECT, watcher.find(HostId("h1"))?.status)
+    }
+
     @Test
     fun aLeavingHostIsNoLongerAmongTheLive() {
         val watcher = membership(number = 0, seeds = 0)
--- a/core/src/test/kotlin/buckthornbay/core/pool/PoolOwnerTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/pool/PoolOwnerTest.kt
@@ -36,7 +36,7 @@
             FleetPolicy(),
         )
 
-    private fun owner(plan: PoolPlan = plan()) = PoolOwner(near, epoch = 1, plan, startedAtMillis = 0)
+    private fun owner(plan: PoolPlan = plan()) = PoolOwner(near, epoch = 1, plan, startedAtMillis = -1_000)
 
     private fun report(host: HostId, version: Long, obeys: Long = 0, vararg demand: WorkspaceDemand) =
         DemandReport(pool, host, incarnation = 1, version, epoch = 1, allocationVersion = obeys, workspaces = demand.toList())
@@ -69,6 +69,16 @@
         assertEquals(8 - lowered.count(), granted.count())
     }
 
+    @Test
+    fun aNewOwnerPromisesNothingBeforeTheOthersHadTimeToReport() {
+        val owner = PoolOwner(near, epoch = 1, plan(), startedAtMillis = 0)
+        assertNull(owner.receive(1, report(near, 1, 0, queued("a", 9))))
+        owner.tick(100)
+        assertTrue(owner.takeChanged(100, spacingMillis = 0).isEmpty())
+        owner.tick(300)
+        assertEquals(8, owner.takeChanged(300, spacingMillis = 0).sumOf { it.count() })
+    }
+
     @Test
     fun aDoubledOrReorderedReportChangesNothing() {
         val owner = owner()
--- a/testkit/src/main/kotlin/buckthornbay/testkit/virtual/RouterScheduling.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/virtual/RouterScheduling.kt
@@ -44,6 +44,9 @@
         /** Whether the process runs; a stopped one neither decides nor answers. */
         public var running: Boolean = true
 
+        /** Until when the process is paused, in milliseconds; what reaches it meanwhile waits in its sockets. */
+        public var pausedUntilMillis: Long = 0
+
         /** Control bytes and messages that it sent. */
         public var sentBytes: Long = 0
             internal set
@@ -58,10 +61,21 @@
         val regions = run.state.upstreams.map { it.region }.distinct()
         regions.forEach { region -> repeat(run.hostsPerRegion) { start(region, it, incarnation = 1) } }
         run.time.every(TICK_MILLIS) {
-            hosts.forEach { (id, host) -> if (host.running) act(id, host.node.tick(run.time.nowMillis)) }
+            hosts.keys.toList().forEach { tick(it) }
         }
     }
 
+    private fun tick(id: HostId) {
+        val host = hosts.getValue(id)
+        if (host.running && host.pausedUntilMillis <= run.time.nowMillis) act(id, host.node.tick(run.time.nowMillis))
+    }
+
+    /** Runs [action] now, or when [host] goes on where it is paused. */
+    private fun whenAwake(host: VirtualHost, action: () -> Unit) {
+        val waitMillis = host.pausedUntilMillis - run.time.nowMillis
+        if (waitMillis > 0) run.time.after(waitMillis) { whenAwake(host, action) } else action()
+    }
+
     /** Starts the host [number] of [region] with nothing in memory, in place of one that ran there before. */
     public fun start(region: RegionId, number: Int, incarnation: Long) {
         val id = hostId(region, number)
@@ -76,6 +90,10 @@
         act(id, host.node.offerState(run.time.nowMillis, VersionedState(1, "first", run.state)))
     }
 
+    /** Lets [host] read [state] from the platform. */
+    public fun offer(host: HostId, state: VersionedState): Unit =
+        act(host, hosts.getValue(host).node.offerState(run.time.nowMillis, state))
+
     /** Returns the id of host [number] of [region]. */
     public fun hostId(region: RegionId, number: Int): HostId = HostId("$region-$number")
 
@@ -96,7 +114,7 @@
             deadlineAtMillis = run.time.nowMillis + spec.deadlineMillis,
             hedgeable = !spec.long,
         )
-        act(id, host.node.arrive(run.time.nowMillis, spec.pool, pooled))
+        whenAwake(host) { act(id, host.node.arrive(run.time.nowMillis, spec.pool, pooled)) }
     }
 
     override fun progress(request: VirtualRequest, attemptId: String, servedUnits: Double) {
@@ -121,7 +139,7 @@
 
     private fun withHost(request: VirtualRequest, block: (VirtualHost) -> Unit) {
         val host = holders[request.id]?.let { hosts[it] } ?: return
-        if (host.running && host.startMillis <= request.arrivedAtMillis) block(host)
+        whenAwake(host) { if (host.running && host.startMillis <= request.arrivedAtMillis) block(host) }
     }
 
     private fun hostUrls(): List<String> = hosts.keys.take(SEEDS).map { "http://$it" }
@@ -167,7 +185,7 @@
             if (lost) {
                 run.time.after(SILENCE_MILLIS) { notice(from, to) }
             } else {
-                act(to, receiver.node.receive(run.time.nowMillis, envelope), replyTo = from)
+                whenAwake(receiver) { act(to, receiver.node.receive(run.time.nowMillis, envelope), replyTo = from) }
             }
         }
     }
