--- a/benchmark/src/main/kotlin/buckthornbay/benchmark/Slopes.kt
+++ b/benchmark/src/main/kotlin/buckthornbay/benchmark/Slopes.kt
@@ -132,16 +132,16 @@
 
     private fun reportBytes(workspaces: Int): Double = EnvelopeEncoder().use { encoder ->
         val sizes = (1L..ROUNDS).map {
-            encoder.encode(PeerEnvelope(HostId("north-1"), 1, it, listOf(report(1, it, workspaces, 4)))).size
+            encoder.encode(PeerEnvelope(HostId("north-1"), 1, it, listOf(report(1, it, workspaces, FEW_UPSTREAMS)))).size
         }
         sizes.drop(WARM_ROUNDS).average()
     }
 
     private fun allocationBytes(workspaces: Int): Double {
-        val owner = PoolOwner(HostId("north-0"), 1, plan(workspaces, 4), startedAtMillis = -1_000)
+        val owner = PoolOwner(HostId("north-0"), 1, plan(workspaces, FEW_UPSTREAMS), startedAtMillis = -1_000)
         return EnvelopeEncoder().use { encoder ->
             val sizes = (1L..ROUNDS).mapNotNull { round ->
-                val answer: Allocation? = owner.receive(round * PERIOD_MILLIS, report(1, round, workspaces, 4))
+                val answer: Allocation? = owner.receive(round * PERIOD_MILLIS, report(1, round, workspaces, FEW_UPSTREAMS))
                 answer?.let { encoder.encode(PeerEnvelope(HostId("north-0"), 1, round, listOf(it))).size }
             }
             sizes.drop(WARM_ROUNDS).average()
@@ -167,13 +167,13 @@
                 WorkspaceId("workspace-${round % workspaces}"),
                 "lookup",
                 long = false,
-                hintUnits = 20.0,
+                hintUnits = REQUEST_UNITS,
                 arrivedAtMillis = round,
-                deadlineAtMillis = round + 60_000,
+                deadlineAtMillis = round + DEADLINE_MILLIS,
             )
             val effects = holder.arrive(round, request) + holder.tick(round)
             effects.forEach { if (it is HolderEffect.Dispatch) running.addLast(it.request.id) }
-            if (running.size > SLOTS) holder.end(round, running.removeFirst(), 20.0, AttemptOutcome.COMPLETED)
+            if (running.size > SLOTS) holder.end(round, running.removeFirst(), REQUEST_UNITS, AttemptOutcome.COMPLETED)
         }
     }
 
@@ -185,7 +185,7 @@
 
     private fun member(number: Int) = Member(
         HostId("north-$number"),
-        "http://10.0.${number / 250}.${number % 250}:8001",
+        "http://10.0.${number / SUBNET}.${number % SUBNET}:8001",
         RegionId("north"),
         ZoneId("north-a"),
         1,
@@ -193,7 +193,7 @@
 
     private fun heartbeatBytes(members: Int): Double {
         val membership = membership(members)
-        val sizes = (1L..ROUNDS * 4).flatMap { round -> membership.tick(round * 1_000, HostReport(1, 0)) }
+        val sizes = (1L..ROUNDS * HEARTBEAT_FACTOR).flatMap { round -> membership.tick(round * 1_000, HostReport(1, 0)) }
             .map { WireJson.encodeToString(Heartbeat.serializer(), it.heartbeat).length }
         return sizes.drop(sizes.size / 2).average()
     }
@@ -222,9 +222,9 @@
     }
 
     private fun ownerKilobytes(hosts: Int): Double = kilobytes {
-        val owner = PoolOwner(HostId("north-0"), 1, plan(16, 8), startedAtMillis = -1_000)
-        for (round in 0L until hosts * 20L) {
-            owner.receive(round, report((round % hosts).toInt(), round + 1, workspaces = 16, upstreams = 8))
+        val owner = PoolOwner(HostId("north-0"), 1, plan(SOME_WORKSPACES, SOME_UPSTREAMS), startedAtMillis = -1_000)
+        for (round in 0L until hosts * ROUNDS) {
+            owner.receive(round, report((round % hosts).toInt(), round + 1, SOME_WORKSPACES, SOME_UPSTREAMS))
         }
         owner
     }
@@ -241,7 +241,7 @@
     }
 
     private fun usedBytes(): Long {
-        repeat(3) { System.gc() }
+        repeat(COLLECTIONS) { System.gc() }
         return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }
     }
 
@@ -258,6 +258,14 @@
         val UPSTREAMS = listOf(2, 4, 8, 16)
         val MEMBERS = listOf(9, 45, 130, 390)
         const val SLOTS = 16
+        const val FEW_UPSTREAMS = 4
+        const val SOME_UPSTREAMS = 8
+        const val SOME_WORKSPACES = 16
+        const val REQUEST_UNITS = 20.0
+        const val DEADLINE_MILLIS = 60_000L
+        const val SUBNET = 250
+        const val HEARTBEAT_FACTOR = 4
+        const val COLLECTIONS = 3
         const val QUEUE_VARIETY = 9
         const val ROUNDS = 60L
         const val WARM_ROUNDS = 10
--- a/operator/src/main/kotlin/buckthornbay/operator/LoadRunner.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/LoadRunner.kt
@@ -21,9 +21,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withContext
 import kotlinx.io.IOException
+import kotlinx.serialization.SerializationException
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler
 import org.apache.commons.rng.simple.RandomSource
@@ -39,6 +41,7 @@
     val tallies: List<FlowTally> = scenario.flows.map { FlowTally(it) }
     private val left = AtomicInteger(scenario.maxRequests)
     private val addresses = AddressBook(client, seedUrls)
+    private val inProgress = Semaphore(scenario.maxInProgress)
 
     /** Sends everything and returns when the last request has ended. */
     suspend fun run(onProgress: (elapsedSeconds: Int) -> Unit = {}) {
@@ -68,7 +71,11 @@
             val due = dueNanos
             val request = draw(tally.flow, random)
             val warmingUp = second < scenario.warmUpSeconds
-            scope.launch { send(if (warmingUp) FlowTally(tally.flow) else tally, request, due) }
+            inProgress.acquire()
+            scope.launch {
+                send(if (warmingUp) FlowTally(tally.flow) else tally, request, due)
+                inProgress.release()
+            }
         }
     }
 
@@ -152,7 +159,7 @@
     }
 }
 
-/** The addresses that the fleet named, asked again when their time to live is over. */
+/** The addresses that the fleet named, asked again when their time to live is over; those given where it names none. */
 internal class AddressBook(private val client: HttpClient, private val seedUrls: List<String>) {
     @Volatile
     private var known: List<String> = emptyList()
@@ -181,6 +188,8 @@
         WireJson.decodeFromString(AddressList.serializer(), client.get("$url/v1/addresses").bodyAsText())
     } catch (_: IOException) {
         null
+    } catch (_: SerializationException) {
+        null
     }
 
     private companion object {
--- a/operator/src/main/kotlin/buckthornbay/operator/LoadScenario.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/LoadScenario.kt
@@ -8,6 +8,7 @@
  * @property durationSeconds how long new requests are sent.
  * @property warmUpSeconds how much of that is sent and not counted, in seconds.
  * @property maxRequests most requests of the whole run.
+ * @property maxInProgress most requests under way at once; later ones wait, and their wait counts.
  * @property seed seed of arrival times and sizes.
  */
 @Serializable
@@ -15,6 +16,7 @@
     public val durationSeconds: Int = 30,
     public val warmUpSeconds: Int = 0,
     public val maxRequests: Int = 100_000,
+    public val maxInProgress: Int = 500,
     public val seed: Long = 1,
     public val flows: List<LoadFlow>,
 )
