Bound each workspace's queue by its own setting

Cause: maxQueuedRequests was read and checked, and a bound of 1,000 was in force for all.

Change: the pool's plan carries each workspace's bound and the holder refuses beyond it.

--- a/core/src/main/kotlin/buckthornbay/core/pool/PoolHolder.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/PoolHolder.kt
@@ -160,7 +160,10 @@
         val waiting = queues[request.workspace]?.size ?: 0
         return when {
             plan.upstreams.isEmpty() -> refuse(request, RefusalReason.NO_UPSTREAM)
-            waiting >= settings.maxQueuedPerWorkspace -> refuse(request, RefusalReason.QUEUE_FULL)
+            waiting >= plan.queueLimitOf(
+                request.workspace,
+                settings.maxQueuedPerWorkspace,
+            ) -> refuse(request, RefusalReason.QUEUE_FULL)
             request.deadlineAtMillis <= nowMillis -> refuse(request, RefusalReason.DEADLINE_PASSED)
             else -> null
         }
--- a/core/src/test/kotlin/buckthornbay/core/pool/PoolOwnerTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/pool/PoolOwnerTest.kt
@@ -139,6 +139,16 @@
         assertTrue(holder.arrive(501, request("q2")).none { it is HolderEffect.Dispatch })
     }
 
+    @Test
+    fun aWorkspaceThatFillsItsQueueIsRefusedAndTheOthersAreNot() {
+        val holder = PoolHolder(near, incarnation = 1, plan().copy(queueLimits = mapOf(WorkspaceId("a") to 2)))
+        val effects = (1..4).flatMap { holder.arrive(0, request("a$it")) }
+        val refusals = effects.filterIsInstance<HolderEffect.Refuse>()
+        assertEquals(listOf("a3", "a4"), refusals.map { it.request.id.value })
+        assertEquals(setOf(RefusalReason.QUEUE_FULL), refusals.map { it.reason }.toSet())
+        assertTrue(holder.arrive(0, request("b1").copy(workspace = WorkspaceId("b"))).none { it is HolderEffect.Refuse })
+    }
+
     @Test
     fun fallbackSharesOfAllHostsAddUpToTheSlots() {
         val upstream = plan().upstreams.first().copy(slots = 7)
