Take over remembered service in one place

Cause: a read of the whole change found the recall of an earlier owner's figures written twice in PoolOwner, a filter for slots that are never 0, and two public members that nothing used.

Change: restart calls recall; the filter and the members hosts and slowUpstreams are gone. Behaviour stays as it is.

--- a/core/src/main/kotlin/buckthornbay/core/pool/PoolOwner.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/PoolOwner.kt
@@ -6,7 +6,6 @@
 import buckthornbay.protocol.PoolId
 import buckthornbay.protocol.ServiceTotals
 import buckthornbay.protocol.SlotGrant
-import buckthornbay.protocol.UpstreamId
 import buckthornbay.protocol.WorkspaceDemand
 import buckthornbay.protocol.WorkspaceId
 import buckthornbay.protocol.WorkspaceOrder
@@ -50,9 +49,6 @@
     /** Whether requests wait or run in the pool. */
     public val isBusy: Boolean get() = views.values.any { it.queued + it.running > 0 }
 
-    /** The hosts that use the pool. */
-    public val hosts: Set<HostId> get() = views.keys
-
     /** Takes up a new plan of the pool; upstreams that it no longer names get no new slots. */
     public fun adopt(nowMillis: Long, newer: PoolPlan) {
         plan = newer
@@ -131,9 +127,6 @@
         remoteTotals[message.pool] = RemoteTotals(message.owner, message.incarnation, message.version, before + served)
     }
 
-    /** Returns the upstreams that are set aside as slow. */
-    public fun slowUpstreams(): Set<UpstreamId> = plan.upstreams.map { it.id }.filterTo(HashSet()) { health.isSlow(it) }
-
     private fun restart(view: HolderView, report: DemandReport) {
         view.incarnation = report.incarnation
         view.demand.clear()
@@ -141,7 +134,7 @@
         view.servedUnits.clear()
         view.wantsRecall = !report.recalls && report.version > 1
         for (demand in report.workspaces) view.servedUnits[demand.workspace] = knownUnits(report, demand)
-        if (report.recalls) report.workspaces.forEach { ledger.recall(it.workspace, it.normalizedUnits) }
+        if (report.recalls) recall(view, report)
     }
 
     /**
@@ -226,9 +219,7 @@
             validForMillis = settings.validForMillis,
             contended = views.values.any { it.queued > 0 },
             longSlots = view.longSlots,
-            slots = view.allocated.filterValues {
-                it > 0
-            }.map { (upstream, count) -> SlotGrant(upstream, count, health.isSlow(upstream)) },
+            slots = view.allocated.map { (upstream, count) -> SlotGrant(upstream, count, health.isSlow(upstream)) },
             order = view.demand.keys.map { WorkspaceOrder(it, rounded(ledger.normalizedOf(it))) },
             reportVersion = view.reportVersion,
             wantsRecall = view.wantsRecall,
