Take a lowered upstream's slots only from hosts that have them

Change: slots are taken only from hosts that have them, which makes the filter needless. A test shows it: on the old code a host kept 3 slots of an upstream cut to 1.

--- a/core/src/main/kotlin/buckthornbay/core/pool/SlotMoves.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/SlotMoves.kt
@@ -43,7 +43,8 @@
     private fun cutToCapacity(upstream: UpstreamId) {
         var excess = views.sumOf { it.allocated[upstream] ?: 0 } - capacity.getValue(upstream)
         while (excess > 0) {
-            val view = views.maxWith(compareBy({ idleAt(it, upstream) }, { it.allocated[upstream] ?: 0 }, { it.host.value }))
+            val view = views.filter { upstream in it.allocated }
+                .maxWith(compareBy({ idleAt(it, upstream) }, { it.allocated.getValue(upstream) }, { it.host.value }))
             take(view, upstream)
             excess--
         }
@@ -98,8 +99,8 @@
     }
 
     private fun take(view: HolderView, upstream: UpstreamId) {
-        view.allocated.merge(upstream, -1, Int::plus)
-        if (view.allocated[upstream] == 0) view.allocated.remove(upstream)
+        val left = view.allocated.getValue(upstream) - 1
+        if (left == 0) view.allocated.remove(upstream) else view.allocated[upstream] = left
         view.changed = true
     }
 
--- a/core/src/test/kotlin/buckthornbay/core/pool/PoolOwnerTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/pool/PoolOwnerTest.kt
@@ -80,6 +80,19 @@
         assertEquals(8, owner.takeChanged(300, spacingMillis = 0).sumOf { it.count() })
     }
 
+    @Test
+    fun aSlowedUpstreamsSlotsAreTakenOnlyFromHostsThatHaveThem() {
+        val upstream = UpstreamId("u0")
+        val busy = HolderView(near).apply {
+            allocated[upstream] = 4
+            use[upstream] = HolderView.Usage(inUse = 5, longInUse = 0, busyMillis = 0, progressUnits = 0.0)
+        }
+        val idle = HolderView(other)
+        SlotMoves(mapOf(upstream to 1), listOf(busy, idle), mapOf(near to 1, other to 0)).run(mayRebalance = false)
+        assertEquals(mapOf(upstream to 1), busy.allocated.toMap())
+        assertTrue(idle.allocated.isEmpty(), "${idle.allocated}")
+    }
+
     @Test
     fun aDoubledOrReorderedReportChangesNothing() {
         val owner = owner()
