--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
@@ -0,0 +1,49 @@
+package buckthornbay.core.admission
+
+import buckthornbay.core.routing.Route
+import org.apache.commons.rng.UniformRandomProvider
+
+/**
+ * How long a request may wait at this host, and when a caller that is turned away should come back.
+ *
+ * It answers load beyond capacity that lasts longer than an objective: a request that would only be answered late gives its place to
+ * one that can still be answered in time, and hears so at once.
+ */
+public class AdmissionPolicy(
+    private val random: UniformRandomProvider,
+    private val settings: AdmissionSettings = AdmissionSettings(),
+) {
+    /** Returns until when a request may wait, in milliseconds. */
+    public fun giveUpAtMillis(route: Route, arrivedAtMillis: Long, deadlineAtMillis: Long): Long {
+        val objectiveMillis = route.objectiveMillis ?: route.timeoutMillis
+        val limitMillis = arrivedAtMillis + (objectiveMillis * settings.waitingPart).toLong()
+        return minOf(limitMillis, deadlineAtMillis - settings.leastServiceMillis)
+    }
+
+    /**
+     * Returns after which time a caller should come back that has [leftMillis] left, in milliseconds.
+     *
+     * Callers are spread over the time that they can wait, so that those who were turned away together don't return together.
+     */
+    public fun retryAfterMillis(route: Route, leftMillis: Long): Double {
+        val objectiveMillis = (route.objectiveMillis ?: route.timeoutMillis).toDouble()
+        val longestMillis = (leftMillis * settings.callerPatience).coerceAtLeast(0.0)
+        val shortestMillis = minOf(objectiveMillis * settings.shortestReturn, longestMillis)
+        return shortestMillis + random.nextDouble() * (longestMillis - shortestMillis)
+    }
+}
+
+/**
+ * Constants of [AdmissionPolicy].
+ *
+ * @property waitingPart part of a route's objective that may be spent waiting; the rest is for reading the prompt.
+ * @property leastServiceMillis time that must be left for serving, in milliseconds.
+ * @property callerPatience part of its remaining time that a caller spends on waiting for its return, at most.
+ * @property shortestReturn part of the objective before which a return finds the same load.
+ */
+public data class AdmissionSettings(
+    public val waitingPart: Double = 0.6,
+    public val leastServiceMillis: Long = 100,
+    public val callerPatience: Double = 0.3,
+    public val shortestReturn: Double = 0.5,
+)
--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -0,0 +1,78 @@
+package buckthornbay.core.admission
+
+import buckthornbay.protocol.WorkspaceId
+
+/**
+ * A request that waits at this host for room at an upstream.
+ *
+ * @property workspace whose share it draws on; null on public routes, which share one place.
+ * @property giveUpAtMillis when waiting on can't bring an answer in time any more.
+ */
+public class Waiting<T>(
+    public val id: String,
+    public val workspace: WorkspaceId?,
+    public val arrivedAtMillis: Long,
+    public val giveUpAtMillis: Long,
+    public val request: T,
+)
+
+/**
+ * The requests for one service that wait at this host, the workspace that was given least lately first.
+ *
+ * It answers load beyond what the upstreams can take, from few workspaces or many: engines run requests as they arrive, so what
+ * must be ordered waits here. Requests of one workspace keep their order of arrival.
+ */
+public class FairQueue<T>(private val accounts: ServiceAccounts) {
+    private val byWorkspace = LinkedHashMap<WorkspaceId?, ArrayDeque<Waiting<T>>>()
+
+    /** Requests that wait. */
+    public var size: Int = 0
+        private set
+
+    /** Puts [waiting] behind its workspace's others. */
+    public fun add(waiting: Waiting<T>) {
+        byWorkspace.getOrPut(waiting.workspace) { ArrayDeque() }.addLast(waiting)
+        size++
+    }
+
+    /** Takes [waiting] out; returns false where it does not wait. */
+    public fun remove(waiting: Waiting<T>): Boolean {
+        val queue = byWorkspace[waiting.workspace] ?: return false
+        if (!queue.remove(waiting)) return false
+        size--
+        if (queue.isEmpty()) byWorkspace.remove(waiting.workspace)
+        return true
+    }
+
+    /**
+     * Offers waiting requests to [place] in the order in which they deserve service until none is placed any more.
+     *
+     * A request that finds no room does not hold back other workspaces, whose requests may be smaller.
+     */
+    public fun placeWhile(nowMillis: Long, place: (Waiting<T>) -> Boolean) {
+        var placed = true
+        while (placed && size > 0) {
+            placed = inOrder(nowMillis).any { waiting -> place(waiting).also { if (it) remove(waiting) } }
+        }
+    }
+
+    /** Takes out and returns all requests whose waiting has become useless. */
+    public fun takeExpired(nowMillis: Long): List<Waiting<T>> {
+        val expired = byWorkspace.values.flatMap { queue -> queue.filter { it.giveUpAtMillis <= nowMillis } }
+        expired.forEach(::remove)
+        return expired
+    }
+
+    /** Takes out and returns all requests. */
+    public fun takeAll(): List<Waiting<T>> = byWorkspace.values.flatten().also {
+        byWorkspace.clear()
+        size = 0
+    }
+
+    private fun inOrder(nowMillis: Long): List<Waiting<T>> = byWorkspace.values
+        .map { it.first() }
+        .sortedWith(compareBy({ recentTokensOf(nowMillis, it) }, { it.arrivedAtMillis }))
+
+    private fun recentTokensOf(nowMillis: Long, waiting: Waiting<T>): Double =
+        waiting.workspace?.let { accounts.recentTokens(nowMillis, it) } ?: 0.0
+}
--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
@@ -0,0 +1,133 @@
+package buckthornbay.core.load
+
+/**
+ * The load of one model engine, in prompt tokens that were sent and not yet read.
+ *
+ * It answers load in which reading prompts is the scarce resource: the wait before a first token is the unread tokens ahead over
+ * the engine's rate. The host knows its own unread tokens; those of other hosts show in how much longer its requests waited
+ * than its own tokens explain. That estimate is stale when it is made, so it fades.
+ */
+public class EngineLoad(private val settings: EngineLoadSettings = EngineLoadSettings()) : UpstreamLoad {
+    private class Unread(val cost: Double, val sentAtMillis: Long, val aheadTokens: Double)
+
+    private val unread = LinkedHashMap<String, Unread>()
+    private val running = HashSet<String>()
+    private var unreadTokens = 0.0
+    private var othersWaitMillis = 0.0
+    private var othersSeenAtMillis = 0L
+    private var millisPerToken = settings.initialMillisPerToken
+    private var windowTokens = settings.initialWindowTokens
+    private var shrunkAtMillis = Long.MIN_VALUE / 2
+    private var slowdown = 1.0
+    private var slowdownSeenAtMillis = 0L
+
+    override val inFlight: Int get() = unread.size + running.size
+
+    override fun hasRoom(nowMillis: Long, cost: Double): Boolean =
+        unread.isEmpty() || unreadTokens + cost <= windowTokens
+
+    override fun expectedWaitMillis(nowMillis: Long): Double {
+        val fade = 1.0 - (nowMillis - othersSeenAtMillis).toDouble() / settings.fadeMillis
+        val others = othersWaitMillis * fade.coerceIn(0.0, 1.0)
+        return others + unreadTokens * millisPerToken * currentSlowdown(nowMillis)
+    }
+
+    override fun serviceMillis(cost: Double): Double = cost * millisPerToken
+
+    override fun sent(nowMillis: Long, id: String, cost: Double) {
+        unread[id] = Unread(cost, nowMillis, unreadTokens)
+        unreadTokens += cost
+    }
+
+    override fun began(nowMillis: Long, id: String, report: LoadReport?) {
+        report?.let {
+            slowdown = it.slowdown
+            slowdownSeenAtMillis = nowMillis
+        }
+        val entry = remove(id) ?: return
+        running += id
+        val elapsedMillis = (nowMillis - entry.sentAtMillis).toDouble()
+        learnRate(entry.cost, elapsedMillis)
+        val ownMillis = (entry.cost + entry.aheadTokens) * millisPerToken
+        val othersMillis = (elapsedMillis - ownMillis - settings.startMillis).coerceAtLeast(0.0)
+        othersWaitMillis += settings.smoothing * (othersMillis - othersWaitMillis)
+        othersSeenAtMillis = nowMillis
+        val waitedMillis = elapsedMillis - entry.cost * millisPerToken
+        adjustWindow(nowMillis, waitedMillis, entry.cost, full = report != null && report.waiting > 0)
+    }
+
+    override fun ended(nowMillis: Long, id: String, outcome: SendOutcome) {
+        val unstarted = remove(id)
+        running -= id
+        if (outcome == SendOutcome.REFUSED) shrink(nowMillis)
+        if (outcome == SendOutcome.FAILED && unstarted != null) shrink(nowMillis)
+    }
+
+    private fun remove(id: String): Unread? {
+        val entry = unread.remove(id) ?: return null
+        unreadTokens = if (unread.isEmpty()) 0.0 else unreadTokens - entry.cost
+        return entry
+    }
+
+    /** Follows a low quantile of the time a token took, because most samples contain waiting as well. */
+    private fun learnRate(cost: Double, elapsedMillis: Double) {
+        if (cost < settings.rateSampleTokens) return
+        val sample = (elapsedMillis - settings.startMillis).coerceAtLeast(0.0) / cost
+        val step = if (sample < millisPerToken) settings.rateFallStep else settings.rateRiseStep
+        millisPerToken = (millisPerToken + step * (sample - millisPerToken)).coerceIn(settings.millisPerTokenRange)
+    }
+
+    private fun adjustWindow(nowMillis: Long, waitedMillis: Double, cost: Double, full: Boolean) {
+        if (full || waitedMillis > settings.targetWaitMillis) {
+            shrink(nowMillis)
+        } else {
+            windowTokens = (windowTokens + settings.growth * cost).coerceAtMost(settings.maxWindowTokens)
+        }
+    }
+
+    private fun shrink(nowMillis: Long) {
+        if (nowMillis - shrunkAtMillis < settings.shrinkPauseMillis) return
+        shrunkAtMillis = nowMillis
+        windowTokens = (windowTokens * settings.shrinkFactor).coerceAtLeast(settings.minWindowTokens)
+    }
+
+    private fun currentSlowdown(nowMillis: Long): Double =
+        if (nowMillis - slowdownSeenAtMillis < settings.slowdownFreshMillis) slowdown else 1.0
+}
+
+/**
+ * Constants of [EngineLoad].
+ *
+ * @property initialMillisPerToken reading time of a prompt token before any was seen, in milliseconds; a large model on several
+ * accelerators reads some 80 tokens in a millisecond.
+ * @property millisPerTokenRange bounds of the learned reading time, in milliseconds.
+ * @property rateSampleTokens least cost of a request from which the reading time is learned; shorter ones are mostly overhead.
+ * @property rateFallStep part of the way to a lower sample; with [rateRiseStep] it settles near the fifth part of all samples.
+ * @property startMillis time from the end of reading to the first token and its way back, in milliseconds.
+ * @property smoothing part of the way that one sample of other hosts' work moves the estimate.
+ * @property fadeMillis time after which that estimate counts for nothing, in milliseconds; queues of engines turn over in less.
+ * @property targetWaitMillis longest wait in the engine that is no sign of overload, in milliseconds; a quarter of the usual
+ * objective of 800 ms, so that the rest of it can be spent in the host's fair queue.
+ * @property growth tokens by which the window grows for each token that began in time.
+ * @property shrinkFactor part of the window that is left after a sign of overload.
+ * @property shrinkPauseMillis least time between two such steps, in milliseconds: one turnover of the engine's queue.
+ * @property slowdownFreshMillis how long a reported slowdown counts, in milliseconds; neighbours change several times a second.
+ */
+public data class EngineLoadSettings(
+    public val initialMillisPerToken: Double = 0.0125,
+    public val millisPerTokenRange: ClosedFloatingPointRange<Double> = 0.002..0.2,
+    public val rateSampleTokens: Double = 2_000.0,
+    public val rateFallStep: Double = 0.1,
+    public val rateRiseStep: Double = 0.025,
+    public val startMillis: Double = 25.0,
+    public val smoothing: Double = 0.4,
+    public val fadeMillis: Double = 1_500.0,
+    public val targetWaitMillis: Double = 200.0,
+    public val growth: Double = 0.15,
+    public val shrinkFactor: Double = 0.8,
+    public val shrinkPauseMillis: Long = 150,
+    public val initialWindowTokens: Double = 10_000.0,
+    public val minWindowTokens: Double = 1_500.0,
+    public val maxWindowTokens: Double = 80_000.0,
+    public val slowdownFreshMillis: Long = 300,
+)
--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -0,0 +1,107 @@
+package buckthornbay.core.load
+
+import buckthornbay.protocol.RegionId
+import buckthornbay.protocol.UpstreamId
+import org.apache.commons.codec.digest.MurmurHash3
+
+/**
+ * An upstream that a request may be sent to.
+ *
+ * @property cache what the upstream is believed to keep; null for a plain service.
+ */
+public class Candidate(
+    public val id: UpstreamId,
+    public val region: RegionId?,
+    public val load: UpstreamLoad,
+    public val trust: UpstreamTrust,
+    public val cache: PrefixCacheModel?,
+)
+
+/**
+ * Where a request goes.
+ *
+ * @property cost work that the upstream must do before its first answer: unread prompt tokens, or 1 for a plain service.
+ * @property expectedMillis expected time to the first part of the answer, in milliseconds.
+ */
+public data class Choice(public val upstream: Candidate, public val cost: Double, public val expectedMillis: Double)
+
+/**
+ * Chooses the upstream with the least expected time, counting work that other upstreams would be spared.
+ *
+ * It answers load in which requests share long prompt parts and engines are nearly full: a request goes where its shared part is
+ * kept or, by rendezvous hashing, where all hosts of its region send that part first, until waiting there costs more than
+ * reading the part elsewhere.
+ */
+public class Placement(private val region: RegionId, private val settings: PlacementSettings = PlacementSettings()) {
+    /** Returns the best of [candidates] that has room, or null where none has. */
+    public fun choose(nowMillis: Long, candidates: List<Candidate>, demand: TokenDemand?): Choice? {
+        val usable = candidates.filter { it.trust.isUsable(nowMillis) }
+        val home = demand?.sharedPart?.let { homeOf(it, usable) }
+        var best: Choice? = null
+        var bestPrice = Double.MAX_VALUE
+        for (candidate in usable) {
+            val cost = costAt(candidate, demand)
+            if (!candidate.load.hasRoom(nowMillis, cost)) continue
+            val expectedMillis = expectedMillis(nowMillis, candidate, cost)
+            val price = expectedMillis + extraPrice(nowMillis, candidate, cost, candidate === home)
+            if (price < bestPrice) {
+                best = Choice(candidate, cost, expectedMillis)
+                bestPrice = price
+            }
+        }
+        return best
+    }
+
+    private fun costAt(candidate: Candidate, demand: TokenDemand?): Double {
+        if (demand == null) return 1.0
+        val cached = candidate.cache?.cachedTokens(demand) ?: 0
+        return (demand.promptTokens - cached + settings.leastReadTokens).toDouble()
+    }
+
+    private fun expectedMillis(nowMillis: Long, candidate: Candidate, cost: Double): Double {
+        val distance = if (candidate.region == region) 0.0 else settings.regionRoundTripMillis
+        return candidate.load.expectedWaitMillis(nowMillis) + candidate.load.serviceMillis(cost) + distance
+    }
+
+    private fun extraPrice(nowMillis: Long, candidate: Candidate, cost: Double, isHome: Boolean): Double {
+        val failureRate = candidate.trust.expectedFailureRate(nowMillis)
+        val failures = settings.failureMillis * failureRate / (1.0 - failureRate).coerceAtLeast(LEAST_SUCCESS)
+        val capacity = if (candidate.cache == null) 0.0 else settings.capacityWeight * candidate.load.serviceMillis(cost)
+        val traffic = if (candidate.region == region) 0.0 else settings.regionTrafficMillis
+        val stray = if (isHome || candidate.cache == null) 0.0 else settings.strayMillis
+        return failures + capacity + traffic + stray
+    }
+
+    private fun homeOf(part: String, candidates: List<Candidate>): Candidate? {
+        val near = candidates.filter { it.region == region }.ifEmpty { candidates }
+        return near.maxByOrNull { scoreOf(part, it.id) }
+    }
+
+    private fun scoreOf(part: String, upstream: UpstreamId): Long {
+        val bytes = "$part|${upstream.value}".encodeToByteArray()
+        return MurmurHash3.hash128x64(bytes, 0, bytes.size, 0)[0]
+    }
+
+    private companion object {
+        const val LEAST_SUCCESS = 0.05
+    }
+}
+
+/**
+ * Constants of [Placement].
+ *
+ * @property capacityWeight how much the reading time that a choice costs all others counts beside the request's own wait.
+ * @property regionRoundTripMillis time of a round trip to another region, in milliseconds.
+ * @property regionTrafficMillis wait that is accepted to spare the paid traffic between regions, in milliseconds.
+ * @property strayMillis wait that is accepted at a shared part's first engine, so that parts gather on few engines.
+ * @property failureMillis what a failed attempt costs, in milliseconds: a usual objective.
+ * @property leastReadTokens tokens that an engine reads even of a prompt that it keeps.
+ */
+public data class PlacementSettings(
+    public val capacityWeight: Double = 1.5,
+    public val regionRoundTripMillis: Double = 16.0,
+    public val regionTrafficMillis: Double = 10.0,
+    public val strayMillis: Double = 15.0,
+    public val failureMillis: Double = 600.0,
+    public val leastReadTokens: Int = 16,
+)
--- a/core/src/main/kotlin/buckthornbay/core/request/RequestLifecycle.kt
+++ b/core/src/main/kotlin/buckthornbay/core/request/RequestLifecycle.kt
@@ -60,17 +60,20 @@
  *
  * @param unrepeatable whether the request may run at most once.
  * @param resumable whether the upstream can continue a broken answer.
+ * @param budget what repetitions draw on.
  */
 public class RequestLifecycle(
     private val unrepeatable: Boolean,
     private val resumable: Boolean,
-    private val budget: RetryBudget,
+    private val budget: RetryAllowance,
+    private val limits: AttemptLimits = AttemptLimits(),
 ) {
     /** Where the request is now. */
     public var state: RequestState = CHART.initial
         private set
 
-    private var attempts = 0
+    private var sends = 0
+    private var runs = 0
     private var resumes = 0
     private var mayHaveRun = false
 
@@ -97,7 +100,7 @@
 
     /** The request is being sent to an upstream. */
     public fun dispatched() {
-        attempts++
+        sends++
         move(RequestEvent.DISPATCH)
     }
 
@@ -112,26 +115,29 @@
         if (state == RequestState.QUEUED || state == RequestState.RECEIVED) return endUnsent()
         val written = kind != FailureKind.NOT_CONNECTED && kind != FailureKind.REFUSED_UNREAD
         mayHaveRun = mayHaveRun || written
+        if (written) runs++
         return when {
             state == RequestState.STREAMING -> afterBrokenAnswer(kind)
             kind == FailureKind.CALLER_LEFT -> endWith(if (unrepeatable) RequestEvent.LOSE_TRACK else RequestEvent.FAIL_WRITTEN)
-            kind == FailureKind.NOT_CONNECTED || kind == FailureKind.REFUSED_UNREAD -> afterUnwritten()
+            !written -> afterUnwritten(drawsOnBudget = kind == FailureKind.REFUSED_UNREAD && limits.refusalsDrawOnBudget)
             unrepeatable -> endWith(RequestEvent.LOSE_TRACK)
-            attempts < MAX_ATTEMPTS && budget.tryRetry() -> retry()
+            runs < limits.maxRuns && sends < limits.maxSends && budget.tryRetry() -> retry()
             else -> endWith(RequestEvent.FAIL_WRITTEN)
         }
     }
 
     private fun endUnsent(): AfterFailure = endWith(if (mayHaveRun) RequestEvent.FAIL_WRITTEN else RequestEvent.REFUSE)
 
-    private fun afterUnwritten(): AfterFailure = when {
-        attempts < MAX_ATTEMPTS -> retry()
+    private fun afterUnwritten(drawsOnBudget: Boolean): AfterFailure = when {
+        sends < limits.maxSends && (!drawsOnBudget || budget.tryRetry()) -> retry()
         mayHaveRun -> endWith(RequestEvent.FAIL_WRITTEN)
         else -> endWith(RequestEvent.FAIL_UNWRITTEN)
     }
 
     private fun afterBrokenAnswer(kind: FailureKind): AfterFailure {
-        if (kind == FailureKind.CALLER_LEFT || !resumable || resumes >= MAX_RESUMES) return endWith(RequestEvent.FAIL_WRITTEN)
+        val mayResume = resumable && resumes < limits.maxResumes && (!limits.resumesAreRuns || runs < limits.maxRuns)
+        if (kind == FailureKind.CALLER_LEFT || !mayResume) return endWith(RequestEvent.FAIL_WRITTEN)
+        if (limits.resumesAreRuns && !budget.tryRetry()) return endWith(RequestEvent.FAIL_WRITTEN)
         resumes++
         move(RequestEvent.RESUME)
         return AfterFailure.Resume
@@ -155,8 +161,22 @@
         /** The chart of requests, as `charts/request.toml` states it. */
         public val CHART: StateChart<RequestState, RequestEvent> =
             loadChart("request", RequestState.entries, RequestEvent.entries)
-
-        private const val MAX_ATTEMPTS = 3
-        private const val MAX_RESUMES = 3
     }
 }
+
+/**
+ * Bounds on how often one request is sent.
+ *
+ * @property maxRuns upstreams at which the request may have run.
+ * @property maxSends attempts in all, those included that were refused unread or found no connection.
+ * @property maxResumes times that a begun answer is continued.
+ * @property resumesAreRuns whether a continuation counts as a run and draws on the retry budget.
+ * @property refusalsDrawOnBudget whether an attempt after a refusal draws on the retry budget.
+ */
+public data class AttemptLimits(
+    public val maxRuns: Int = 3,
+    public val maxSends: Int = 3,
+    public val maxResumes: Int = 3,
+    public val resumesAreRuns: Boolean = false,
+    public val refusalsDrawOnBudget: Boolean = false,
+)
--- a/core/src/main/kotlin/buckthornbay/core/request/RetryBudget.kt
+++ b/core/src/main/kotlin/buckthornbay/core/request/RetryBudget.kt
@@ -5,16 +5,16 @@
  *
  * @param part retries for each request, from 0 to 1.
  */
-public class RetryBudget(private val part: Double) {
+public class RetryBudget(private val part: Double) : RetryAllowance {
     private var credit = INITIAL_CREDIT
 
     /** Notes a new request, which earns a part of a retry. */
-    public fun requestArrived() {
+    override fun requestArrived() {
         credit = minOf(MAX_CREDIT, credit + part)
     }
 
     /** Takes one retry out of the budget; returns false where none is left. */
-    public fun tryRetry(): Boolean {
+    override fun tryRetry(): Boolean {
         if (credit < 1.0) return false
         credit -= 1.0
         return true
--- a/operator/src/main/kotlin/buckthornbay/operator/DemoCommand.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/DemoCommand.kt
@@ -2,7 +2,7 @@
 
 import arrow.fx.coroutines.ResourceScope
 import arrow.fx.coroutines.resourceScope
-import buckthornbay.platform.DesiredStateStore
+import buckthornbay.store.DesiredStateStore
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.ZoneId
--- a/operator/src/main/kotlin/buckthornbay/operator/OperatorContext.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/OperatorContext.kt
@@ -1,9 +1,9 @@
 package buckthornbay.operator
 
 import buckthornbay.core.config.readDesiredState
-import buckthornbay.platform.DesiredStateStore
-import buckthornbay.platform.HttpObjectStore
-import buckthornbay.platform.StoreError
+import buckthornbay.store.DesiredStateStore
+import buckthornbay.store.HttpObjectStore
+import buckthornbay.store.StoreError
 import buckthornbay.protocol.DesiredState
 import buckthornbay.protocol.HostStatus
 import buckthornbay.protocol.TomlProblem
--- a/operator/src/main/kotlin/buckthornbay/operator/StateCommands.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/StateCommands.kt
@@ -1,6 +1,6 @@
 package buckthornbay.operator
 
-import buckthornbay.platform.StoreError
+import buckthornbay.store.StoreError
 import buckthornbay.protocol.DesiredState
 import buckthornbay.protocol.writeToml
 import com.github.ajalt.clikt.core.CliktCommand
--- a/router/src/main/kotlin/buckthornbay/router/Main.kt
+++ b/router/src/main/kotlin/buckthornbay/router/Main.kt
@@ -1,6 +1,13 @@
 package buckthornbay.router
 
 import arrow.fx.coroutines.resourceScope
+import buckthornbay.platform.PlatformFormat
+import buckthornbay.platform.PlatformInterface
+import buckthornbay.platform.PlatformStore
+import buckthornbay.protocol.TomlProblem
+import buckthornbay.router.gateway.Deployment
+import buckthornbay.router.gateway.gatewayProcess
+import buckthornbay.router.gateway.readGatewaySettings
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.ProgramResult
@@ -22,6 +29,7 @@
     private val config by option("--config", help = "The router's settings, a TOML file.")
         .file(mustExist = true, canBeDir = false, mustBeReadable = true)
         .required()
+    private val platform by option("--platform", help = "Serve the platform's callers and upstreams; the settings are a gateway's.").flag()
     private val check by option("--check", help = "Check the settings and exit.").flag()
 
     init {
@@ -30,11 +38,24 @@
 
     override fun help(context: Context): String = "Runs one router of a buckthornbay fleet."
 
-    override fun run() {
-        val settings = readRouterSettings(config.readText()).getOrElse { problems ->
-            problems.forEach { echo("${config.path}: $it", err = true) }
-            throw ProgramResult(EXIT_BAD_SETTINGS)
+    override fun run() = if (platform) runGateway() else runRouter()
+
+    private fun runGateway() {
+        val settings = readGatewaySettings(config.readText()).getOrElse { stopOn(it) }
+        if (check) return echo("${config.path}: the settings are valid")
+        System.setProperty("logback.configurationFile", "logback-json.xml")
+        runBlocking {
+            val terminated = awaitSignal()
+            resourceScope {
+                val process = gatewayProcess(settings, PLATFORM)
+                terminated.await()
+                process.drain()
+            }
         }
+    }
+
+    private fun runRouter() {
+        val settings = readRouterSettings(config.readText()).getOrElse { stopOn(it) }
         if (check) {
             echo("${config.path}: the settings are valid")
             return
@@ -43,6 +64,11 @@
         serve(settings)
     }
 
+    private fun stopOn(problems: List<TomlProblem>): Nothing {
+        problems.forEach { echo("${config.path}: $it", err = true) }
+        throw ProgramResult(EXIT_BAD_SETTINGS)
+    }
+
     /** Sets what must stand before the first log line and the first connection. */
     private fun prepareRuntime(settings: RouterSettings) {
         if (settings.logFormat == LogFormat.JSON) System.setProperty("logback.configurationFile", "logback-json.xml")
@@ -50,9 +76,7 @@
     }
 
     private fun serve(settings: RouterSettings) = runBlocking {
-        val terminated = CompletableDeferred<Unit>()
-        Signal.handle(Signal("TERM")) { terminate(terminated) }
-        Signal.handle(Signal("INT")) { terminate(terminated) }
+        val terminated = awaitSignal()
         resourceScope {
             val process = routerProcess(settings)
             terminated.await()
@@ -60,6 +84,13 @@
         }
     }
 
+    private fun awaitSignal(): CompletableDeferred<Unit> {
+        val terminated = CompletableDeferred<Unit>()
+        Signal.handle(Signal("TERM")) { terminate(terminated) }
+        Signal.handle(Signal("INT")) { terminate(terminated) }
+        return terminated
+    }
+
     private fun terminate(terminated: CompletableDeferred<Unit>) {
         if (!terminated.complete(Unit)) Runtime.getRuntime().halt(EXIT_KILLED)
     }
@@ -68,6 +99,7 @@
         const val VERSION = "0.1.0"
         const val EXIT_BAD_SETTINGS = 2
         const val EXIT_KILLED = 143
+        val PLATFORM = Deployment(PlatformInterface, PlatformFormat) { transport, address -> PlatformStore(transport, address) }
         const val IDLE_CONNECTION_SECONDS = "5"
     }
 }
--- a/router/src/main/kotlin/buckthornbay/router/RequestDriver.kt
+++ b/router/src/main/kotlin/buckthornbay/router/RequestDriver.kt
@@ -9,8 +9,8 @@
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestLifecycle
 import buckthornbay.core.request.RetryBudget
-import buckthornbay.platform.ClaimOutcome
-import buckthornbay.platform.KeyClaims
+import buckthornbay.store.ClaimOutcome
+import buckthornbay.store.KeyClaims
 import buckthornbay.protocol.RequestEnd
 import buckthornbay.protocol.RequestId
 import buckthornbay.protocol.UpstreamId
--- a/router/src/main/kotlin/buckthornbay/router/RouterProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/RouterProcess.kt
@@ -6,10 +6,10 @@
 import buckthornbay.core.node.NodeEffect
 import buckthornbay.core.node.RouterNode
 import buckthornbay.core.node.buildNodeSettings
-import buckthornbay.platform.DesiredStateStore
-import buckthornbay.platform.HttpObjectStore
-import buckthornbay.platform.KeyClaims
-import buckthornbay.platform.SystemClock
+import buckthornbay.store.DesiredStateStore
+import buckthornbay.store.HttpObjectStore
+import buckthornbay.store.KeyClaims
+import buckthornbay.store.SystemClock
 import buckthornbay.protocol.Member
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.client.HttpClient
--- a/router/src/main/kotlin/buckthornbay/router/StateWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/StateWatcher.kt
@@ -1,7 +1,7 @@
 package buckthornbay.router
 
-import buckthornbay.platform.DesiredStateStore
-import buckthornbay.platform.HostList
+import buckthornbay.store.DesiredStateStore
+import buckthornbay.store.HostList
 import buckthornbay.protocol.UpstreamId
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -0,0 +1,305 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.core.Clock
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+
+/** A request that was read whole; [body] belongs to whoever takes the request and must be released. */
+internal class ReceivedRequest(
+    val method: String,
+    val target: String,
+    val headers: HttpHeaders,
+    val body: ByteBuf,
+) {
+    /** The target without its query. */
+    val path: String get() = target.substringBefore('?')
+}
+
+/** What takes the requests of a [CallerConnection]. */
+internal interface RequestHandler {
+    /** Bounds on what callers may send now. */
+    val limits: ReadLimits
+
+    /** Whether answers must tell callers to use another connection from now on. */
+    val closing: Boolean
+
+    /** Takes a [request] and returns what ends when its caller leaves; answers go to [caller]. */
+    fun handle(request: ReceivedRequest, caller: CallerConnection): CallerWork
+
+    /** Writes the body of an error that the connection itself sends. */
+    fun errorBody(message: String): String
+
+    /** A connection was opened or closed. */
+    fun connectionChanged(connection: CallerConnection, open: Boolean) = Unit
+
+    /** Something that callers sent was refused before it was a request. */
+    fun refusedUnread(status: Int, reason: String) = Unit
+}
+
+/** Work in progress for a caller. */
+internal interface CallerWork {
+    /** The caller left, or its connection broke. */
+    fun callerLeft()
+
+    /** The caller's connection takes bytes again, or does not. */
+    fun writable(writable: Boolean) = Unit
+}
+
+/** Bounds on what callers may send; see `CallerLimits`. */
+internal data class ReadLimits(val maxBodyBytes: Int, val headerTimeoutMillis: Long, val idleTimeoutMillis: Long)
+
+/**
+ * A caller's connection: it reads one request after another, and writes the answers in the same order.
+ *
+ * What is no proper request is answered with an error and the connection is closed, so that nothing after it can be taken for a
+ * request.
+ */
+internal class CallerConnection(private val handler: RequestHandler, private val clock: Clock) : ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+    private val pending = ArrayDeque<HttpObject>()
+    private var head: HttpRequest? = null
+    private var body: ByteBuf? = null
+    private var work: CallerWork? = null
+    private var keepAlive = true
+    private var closing = false
+    private var streaming = false
+
+    /** When something last arrived or was answered, in milliseconds. */
+    private var activeAtMillis = clock.nowMillis()
+
+    /** When the first byte of a head arrived that is not whole yet, in milliseconds. */
+    private var headBegunAtMillis: Long? = null
+
+    val isBusy: Boolean get() = work != null || head != null
+
+    val isWritable: Boolean get() = context.channel().isWritable
+
+    val remoteAddress: String get() = context.channel().remoteAddress()?.toString().orEmpty()
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        context = ctx
+    }
+
+    override fun channelActive(ctx: ChannelHandlerContext) {
+        handler.connectionChanged(this, open = true)
+        ctx.fireChannelActive()
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        handler.connectionChanged(this, open = false)
+        closing = true
+        work?.callerLeft()
+        work = null
+        releaseAll()
+        ctx.fireChannelInactive()
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
+        activeAtMillis = clock.nowMillis()
+        when {
+            closing || msg !is HttpObject -> ReferenceCountUtil.release(msg)
+            work != null -> hold(msg)
+            else -> take(msg)
+        }
+    }
+
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        work?.writable(ctx.channel().isWritable)
+        ctx.fireChannelWritabilityChanged()
+    }
+
+    @Suppress("OVERRIDE_DEPRECATION")
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        ctx.close()
+    }
+
+    /** Notes that bytes arrived, before they were parsed. */
+    fun bytesArrived() {
+        if (headBegunAtMillis == null && head == null && work == null) headBegunAtMillis = clock.nowMillis()
+    }
+
+    /** Closes the connection if the caller is too slow or does not use it. */
+    fun closeIfOverdue(nowMillis: Long) {
+        if (work != null) return
+        val limits = handler.limits
+        val begun = headBegunAtMillis
+        when {
+            head != null -> if (nowMillis - activeAtMillis > limits.idleTimeoutMillis) reject(REQUEST_TIMEOUT, "the body did not arrive in time")
+            begun != null -> if (nowMillis - begun > limits.headerTimeoutMillis) reject(REQUEST_TIMEOUT, "the head did not arrive in time")
+            nowMillis - activeAtMillis > limits.idleTimeoutMillis -> close()
+        }
+    }
+
+    /** Closes the connection if no request is in progress on it. */
+    fun closeIfIdle() {
+        if (!isBusy && headBegunAtMillis == null) close()
+    }
+
+    /** Closes the connection at once, so that an answer which has begun is not taken for whole. */
+    fun abort() {
+        work = null
+        close()
+    }
+
+    /** Answers whole with [status]; [headers] lack those that concern the connection. */
+    fun answer(status: HttpResponseStatus, headers: HttpHeaders?, body: ByteBuf) {
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        headers?.let { response.headers().add(it) }
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        finish(response)
+    }
+
+    /** Answers an error of the router's own. */
+    fun fail(status: HttpResponseStatus, message: String, retryAfterSeconds: String? = null) {
+        val body = Unpooled.copiedBuffer(handler.errorBody(message), Charsets.UTF_8)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        retryAfterSeconds?.let { response.headers().set(HttpHeaderNames.RETRY_AFTER, it) }
+        finish(response)
+    }
+
+    /** Begins an answer whose length is not known. */
+    fun beginStream(status: HttpResponseStatus, headers: HttpHeaders) {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
+        response.headers().add(headers)
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        markClose(response.headers())
+        streaming = true
+        context.write(response)
+    }
+
+    /** Passes on a piece of an answer that [beginStream] began. */
+    fun stream(bytes: ByteBuf) {
+        context.write(DefaultHttpContent(bytes))
+    }
+
+    /** Sends what was written so far. */
+    fun flush() {
+        context.flush()
+    }
+
+    /** Ends an answer that [beginStream] began. */
+    fun endStream() {
+        streaming = false
+        val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        next(written)
+    }
+
+    private fun finish(response: DefaultFullHttpResponse) {
+        markClose(response.headers())
+        next(context.writeAndFlush(response))
+    }
+
+    private fun markClose(headers: HttpHeaders) {
+        keepAlive = keepAlive && !handler.closing
+        if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    }
+
+    private fun next(written: io.netty.channel.ChannelFuture) {
+        work = null
+        head = null
+        activeAtMillis = clock.nowMillis()
+        if (!keepAlive) {
+            closing = true
+            written.addListener(ChannelFutureListener.CLOSE)
+            return
+        }
+        context.channel().config().isAutoRead = true
+        while (work == null && !closing && pending.isNotEmpty()) take(pending.removeFirst())
+    }
+
+    private fun hold(message: HttpObject) {
+        pending.addLast(message)
+        if (pending.size >= MAX_PENDING) context.channel().config().isAutoRead = false
+    }
+
+    private fun take(message: HttpObject) {
+        try {
+            if (message.decoderResult().isFailure) return rejectMalformed(message.decoderResult().cause())
+            if (message is HttpRequest) takeHead(message)
+            if (message is HttpContent && head != null && !closing) takeBody(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun takeHead(request: HttpRequest) {
+        headBegunAtMillis = null
+        head = request
+        keepAlive = HttpUtil.isKeepAlive(request)
+        val problem = problemOf(request)
+        if (problem != null) return reject(problem.status, problem.message)
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
+        }
+    }
+
+    private fun takeBody(content: HttpContent) {
+        val bytes = content.content()
+        val buffer = body ?: context.alloc().buffer(maxOf(bytes.readableBytes(), FIRST_BODY_BYTES)).also { body = it }
+        if (buffer.readableBytes() + bytes.readableBytes() > handler.limits.maxBodyBytes) {
+            return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body may have ${handler.limits.maxBodyBytes} bytes at most")
+        }
+        buffer.writeBytes(bytes)
+        if (content is LastHttpContent) deliver()
+    }
+
+    private fun deliver() {
+        val request = checkNotNull(head) { "a body follows a head" }
+        val received = ReceivedRequest(request.method().name(), request.uri(), request.headers(), body ?: Unpooled.EMPTY_BUFFER)
+        body = null
+        val begun = handler.handle(received, this)
+        if (head === request) work = begun
+    }
+
+    private fun rejectMalformed(cause: Throwable) {
+        val problem = malformedProblem(cause)
+        reject(problem.status, problem.message)
+    }
+
+    private fun reject(status: HttpResponseStatus, message: String) {
+        if (closing) return
+        handler.refusedUnread(status.code(), message)
+        keepAlive = false
+        releaseAll()
+        fail(status, message)
+    }
+
+    private fun releaseAll() {
+        body?.release()
+        body = null
+        pending.forEach { ReferenceCountUtil.release(it) }
+        pending.clear()
+    }
+
+    private fun close() {
+        closing = true
+        context.close()
+    }
+
+    private companion object {
+        val REQUEST_TIMEOUT: HttpResponseStatus = HttpResponseStatus.REQUEST_TIMEOUT
+
+        /** Parsed pieces of later requests that are held while one is in progress; a caller that sends more is not read. */
+        const val MAX_PENDING = 64
+        const val FIRST_BODY_BYTES = 256
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -0,0 +1,126 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.core.routing.RouteMatch
+import buckthornbay.core.routing.RouteTable
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/** Takes callers' requests: finds route and workspace, and begins or turns away. */
+internal class CallerHandler(private val context: GatewayContext, private val routes: () -> RouteTable?) : RequestHandler {
+    private val names = context.callerInterface.headers
+
+    /** Connections that are open. */
+    val connections = LinkedHashSet<CallerConnection>()
+
+    /** Whether the host is about to stop: callers are asked to connect elsewhere. */
+    override var closing = false
+
+    /** Whether requests are turned away because the host has no time left to serve them. */
+    var refusing = false
+
+    override val limits: ReadLimits
+        get() {
+            val limits = routes()?.configuration?.limits ?: return BEFORE_CONFIGURATION
+            return ReadLimits(limits.maxBodyBytes, limits.headerTimeoutMillis, limits.idleTimeoutMillis)
+        }
+
+    override fun errorBody(message: String): String = context.callerInterface.errorBody(message)
+
+    override fun connectionChanged(connection: CallerConnection, open: Boolean) {
+        if (open) connections += connection else connections -= connection
+    }
+
+    override fun refusedUnread(status: Int, reason: String) {
+        context.log.turnedAway(id = null, status, reason)
+    }
+
+    override fun handle(request: ReceivedRequest, caller: CallerConnection): CallerWork {
+        val id = request.headers[names.attemptId]
+        val table = routes()
+        return when {
+            id.isNullOrBlank() -> turnAway(request, caller, id, BAD_REQUEST, "send the header ${names.attemptId}")
+            table == null -> turnAway(request, caller, id, UNAVAILABLE, "this host has no configuration yet", NO_CONFIGURATION_RETRY_S)
+            refusing -> turnAway(request, caller, id, UNAVAILABLE, "not run: this host is shutting down", SHUTDOWN_RETRY_S)
+            else -> route(request, caller, id, table)
+        }
+    }
+
+    private fun route(request: ReceivedRequest, caller: CallerConnection, id: String, table: RouteTable): CallerWork {
+        val hostName = request.headers[HttpHeaderNames.HOST].substringBeforeLast(':')
+        val key = request.headers[HttpHeaderNames.AUTHORIZATION]?.let(::bearerKey)
+        return when (val match = table.match(hostName, request.path, key)) {
+            RouteMatch.NoRoute -> turnAway(request, caller, id, HttpResponseStatus.NOT_FOUND, "no route begins this path")
+            RouteMatch.UnknownKey ->
+                turnAway(request, caller, id, HttpResponseStatus.UNAUTHORIZED, "send a key that belongs to a workspace")
+            is RouteMatch.Found -> begin(request, caller, id, table, match)
+        }
+    }
+
+    private fun begin(
+        request: ReceivedRequest,
+        caller: CallerConnection,
+        id: String,
+        table: RouteTable,
+        match: RouteMatch.Found,
+    ): CallerWork {
+        val service = table.targetOf(match.route, id)
+            ?: return turnAway(request, caller, id, UNAVAILABLE, "the route leads to no service", SHUTDOWN_RETRY_S)
+        val remainingText = request.headers[names.remainingMillis]
+        val remainingMillis = remainingText?.trim()?.toDoubleOrNull()?.toLong()
+        if (remainingText != null && (remainingMillis == null || remainingMillis < 0)) {
+            return turnAway(request, caller, id, BAD_REQUEST, "${names.remainingMillis} must be a number of milliseconds")
+        }
+        val nowMillis = context.clock.nowMillis()
+        val waitsMillis = remainingMillis ?: match.route.timeoutMillis
+        val terms = RequestTerms(
+            id = id,
+            route = match.route,
+            workspace = match.workspace?.id,
+            service = service,
+            demand = context.callerInterface.tokenDemand(request.headers[names.tokenDemand], request.headers[names.promptParts]),
+            arrivedAtMillis = nowMillis,
+            callerWaitsUntilMillis = nowMillis + waitsMillis,
+            deadlineAtMillis = nowMillis + minOf(waitsMillis, match.route.timeoutMillis),
+        )
+        val proxied = ProxiedRequest(context, terms, request, caller)
+        context.requests += proxied
+        context.dispatcher.allowanceOf(service).requestArrived()
+        proxied.start()
+        return proxied
+    }
+
+    private fun turnAway(
+        request: ReceivedRequest,
+        caller: CallerConnection,
+        id: String?,
+        status: HttpResponseStatus,
+        message: String,
+        retryAfterSeconds: String? = null,
+    ): CallerWork {
+        request.body.release()
+        context.log.turnedAway(id, status.code(), message)
+        caller.fail(status, message, retryAfterSeconds)
+        return NoWork
+    }
+
+    private fun bearerKey(header: String): String? {
+        val scheme = header.substringBefore(' ')
+        return if (scheme.equals("Bearer", ignoreCase = true)) header.substringAfter(' ', "").trim() else null
+    }
+
+    private object NoWork : CallerWork {
+        override fun callerLeft() = Unit
+    }
+
+    private companion object {
+        val BAD_REQUEST: HttpResponseStatus = HttpResponseStatus.BAD_REQUEST
+        val UNAVAILABLE: HttpResponseStatus = HttpResponseStatus.SERVICE_UNAVAILABLE
+
+        /** When a caller should try a host again that has just started, in seconds: the first answer of the store takes less. */
+        const val NO_CONFIGURATION_RETRY_S = "0.3"
+
+        /** When a caller that a stopping host turned away should try another, in seconds: at once but for a round trip. */
+        const val SHUTDOWN_RETRY_S = "0.05"
+        val BEFORE_CONFIGURATION = ReadLimits(maxBodyBytes = 4_194_304, headerTimeoutMillis = 3_000, idleTimeoutMillis = 15_000)
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
@@ -0,0 +1,93 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.core.Clock
+import buckthornbay.core.admission.FairQueue
+import buckthornbay.core.admission.ServiceAccounts
+import buckthornbay.core.admission.Waiting
+import buckthornbay.core.load.Placement
+import buckthornbay.core.request.FleetRetryBudget
+import buckthornbay.core.request.RetryAllowance
+import buckthornbay.protocol.ServiceId
+
+/** Brings waiting requests and upstreams together; carries out what placement, fair queue and budgets decide. */
+internal class Dispatcher(
+    private val upstreams: UpstreamTable,
+    private val accounts: ServiceAccounts,
+    private val placement: Placement,
+    private val settings: RetrySettings,
+    private val clock: Clock,
+    private val liveHosts: () -> Int,
+) {
+    private val queues = HashMap<ServiceId, FairQueue<ProxiedRequest>>()
+    private val budgets = HashMap<ServiceId, FleetRetryBudget>()
+
+    /** Requests that wait. */
+    val waitingCount: Int get() = queues.values.sumOf { it.size }
+
+    /** Takes in a request that is to be sent, for the first time or again. */
+    fun submit(request: ProxiedRequest) {
+        if (upstreams.usable(request.service).isEmpty()) return request.refuse("no upstream of the service may be used")
+        val waiting = Waiting(request.id, request.workspaceId, clock.nowMillis(), request.giveUpAtMillis(), request)
+        request.waiting = waiting
+        queueOf(request.service).add(waiting)
+        place(request.service)
+    }
+
+    /** Takes a request out that waits no longer. */
+    fun withdraw(request: ProxiedRequest) {
+        val waiting = request.waiting ?: return
+        request.waiting = null
+        queueOf(request.service).remove(waiting)
+    }
+
+    /** Sends what finds room at upstreams of [service]. */
+    fun place(service: ServiceId) {
+        val queue = queues[service] ?: return
+        if (queue.size == 0) return
+        queue.placeWhile(clock.nowMillis()) { waiting -> placeOne(waiting.request) }
+    }
+
+    /** Sends what finds room anywhere; called when the upstreams changed. */
+    fun placeAll() {
+        queues.keys.toList().forEach { service ->
+            val stranded = if (upstreams.usable(service).isEmpty()) queueOf(service).takeAll() else emptyList()
+            stranded.forEach { it.request.refuse("no upstream of the service may be used") }
+            place(service)
+        }
+    }
+
+    /** The allowance of one request for [service] to be sent again. */
+    fun allowanceOf(service: ServiceId): RetryAllowance = object : RetryAllowance {
+        private val budget = budgets.getOrPut(service) { FleetRetryBudget(settings.ratio, settings.windowMillis, settings.slack) }
+
+        override fun requestArrived() = budget.requestArrived(clock.nowMillis())
+
+        override fun tryRetry(): Boolean = budget.tryRetry(clock.nowMillis(), liveHosts())
+    }
+
+    private fun placeOne(request: ProxiedRequest): Boolean {
+        val nowMillis = clock.nowMillis()
+        val usable = upstreams.usable(request.service)
+        val fresh = usable.filterNot { it.entry.id in request.triedUpstreams }.ifEmpty { usable }
+        val choice = placement.choose(nowMillis, fresh.map { it.candidate }, request.demand) ?: return false
+        val upstream = fresh.first { it.candidate === choice.upstream }
+        request.waiting = null
+        request.demand?.let { demand ->
+            request.workspaceId?.let { accounts.charge(nowMillis, it, demand.workTokens) }
+            upstream.candidate.cache?.noteRead(demand)
+        }
+        request.send(upstream, choice)
+        return true
+    }
+
+    private fun queueOf(service: ServiceId) = queues.getOrPut(service) { FairQueue(accounts) }
+}
+
+/**
+ * Bounds on repetitions of all hosts together.
+ *
+ * @property ratio repetitions for each request of a window.
+ * @property windowMillis length of the window, in milliseconds.
+ * @property slack repetitions in a window that need no request.
+ */
+internal data class RetrySettings(val ratio: Double, val windowMillis: Long, val slack: Double)
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -0,0 +1,28 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.core.Clock
+import buckthornbay.core.admission.AdmissionPolicy
+import buckthornbay.core.wire.CallerInterface
+import io.netty.buffer.ByteBufAllocator
+import io.netty.channel.EventLoop
+
+/** What the handlers of requests share; all of it lives on one event loop. */
+internal class GatewayContext(
+    val clock: Clock,
+    val eventLoop: EventLoop,
+    val allocator: ByteBufAllocator,
+    val callerInterface: CallerInterface,
+    val connections: ConnectionPool,
+    val admission: AdmissionPolicy,
+    val log: DecisionLog,
+    val metrics: GatewayMetrics,
+) {
+    lateinit var dispatcher: Dispatcher
+
+    /** Requests in progress. */
+    val requests = LinkedHashSet<ProxiedRequest>()
+
+    fun requestEnded(request: ProxiedRequest) {
+        requests.remove(request)
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HostHandlers.kt
@@ -0,0 +1,60 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.core.wire.AddressQuery
+import buckthornbay.core.wire.CallerInterface
+import buckthornbay.protocol.Member
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.QueryStringDecoder
+
+/** A plain answer of the host itself. */
+internal data class HostAnswer(val status: HttpResponseStatus, val body: String, val contentType: String = "application/json")
+
+/** Answers questions to the host itself, each at once. */
+internal class HostHandler(private val callerInterface: CallerInterface, private val answer: (ReceivedRequest) -> HostAnswer) :
+    RequestHandler {
+    override val limits = ReadLimits(maxBodyBytes = 8_388_608, headerTimeoutMillis = 3_000, idleTimeoutMillis = 15_000)
+    override val closing = false
+
+    /** Connections that are open. */
+    val connections = LinkedHashSet<CallerConnection>()
+
+    override fun errorBody(message: String): String = callerInterface.errorBody(message)
+
+    override fun connectionChanged(connection: CallerConnection, open: Boolean) {
+        if (open) connections += connection else connections -= connection
+    }
+
+    override fun handle(request: ReceivedRequest, caller: CallerConnection): CallerWork {
+        val answer = answer(request)
+        request.body.release()
+        val headers: HttpHeaders = uncheckedHeaders().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+        caller.answer(answer.status, headers, Unpooled.copiedBuffer(answer.body, Charsets.UTF_8))
+        return Done
+    }
+
+    private object Done : CallerWork {
+        override fun callerLeft() = Unit
+    }
+}
+
+/** Which hosts a caller is told to use: those of its zone, where enough of them live, and else the nearest. */
+internal fun hostsFor(query: AddressQuery, alive: List<Member>): List<Member> {
+    val inZone = alive.filter { it.zone.value == query.zoneName }
+    if (inZone.size >= ENOUGH_HOSTS) return inZone
+    val inRegion = alive.filter { it.region.value == query.regionName }
+    if (inRegion.size >= ENOUGH_HOSTS) return inRegion
+    val near = (inZone + inRegion).distinct()
+    return near + (alive - near.toSet()).sortedBy { it.host.value }.take(ENOUGH_HOSTS - near.size)
+}
+
+/** Returns the query parameters of [request] by name. */
+internal fun queryOf(request: ReceivedRequest): (String) -> String? {
+    val parameters = QueryStringDecoder(request.target).parameters()
+    return { name -> parameters[name]?.firstOrNull() }
+}
+
+/** Hosts that a caller should know at least, so that one that fails leaves another. */
+private const val ENOUGH_HOSTS = 2
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
@@ -0,0 +1,105 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.store.HttpCall
+import buckthornbay.store.HttpFailure
+import buckthornbay.store.HttpReply
+import buckthornbay.store.HttpTransport
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Calls of the store and of peers on the connections of [pool]; to be used on its event loop. */
+internal class NettyTransport(private val pool: ConnectionPool) : HttpTransport {
+    override suspend fun call(address: String, call: HttpCall, timeoutMillis: Long): Result<HttpReply, HttpFailure> {
+        val exchange = Exchange()
+        pool.acquire(address, MAX_IDLE_MILLIS) { exchange.begin(it, request(address, call)) }
+        val result = withTimeoutOrNull(timeoutMillis) { exchange.reply.await() }
+        if (result != null) return result
+        exchange.cancel()
+        return Err(HttpFailure.Lost("no answer from $address within $timeoutMillis ms"))
+    }
+
+    private fun request(address: String, call: HttpCall): FullHttpRequest {
+        val body = call.body?.let { Unpooled.copiedBuffer(it, Charsets.UTF_8) } ?: Unpooled.EMPTY_BUFFER
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.target, body)
+        request.headers().set(HttpHeaderNames.HOST, address)
+        if (call.body != null) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        }
+        return request
+    }
+
+    private class Exchange : AnswerListener {
+        val reply = CompletableDeferred<Result<HttpReply, HttpFailure>>()
+        private val body = StringBuilderBytes()
+        private var status = 0
+        private var connection: HttpConnection? = null
+        private var cancelled = false
+
+        fun begin(connected: Connected, request: FullHttpRequest) {
+            when (connected) {
+                is Connected.Failed -> {
+                    request.release()
+                    reply.complete(Err(HttpFailure.NotConnected(connected.reason)))
+                }
+                is Connected.Open -> {
+                    if (cancelled) {
+                        request.release()
+                        connected.connection.abort()
+                        return
+                    }
+                    connection = connected.connection
+                    connected.connection.send(request, this)
+                }
+            }
+        }
+
+        fun cancel() {
+            cancelled = true
+            connection?.abort()
+        }
+
+        override fun head(response: HttpResponse): Boolean {
+            status = response.status().code()
+            return true
+        }
+
+        override fun content(bytes: ByteBuf) = body.append(bytes)
+
+        override fun complete() {
+            connection = null
+            reply.complete(Ok(HttpReply(status, body.text())))
+        }
+
+        override fun broken(reason: String) {
+            connection = null
+            reply.complete(Err(HttpFailure.Lost(reason)))
+        }
+    }
+
+    private class StringBuilderBytes {
+        private val bytes = java.io.ByteArrayOutputStream()
+
+        fun append(piece: ByteBuf) {
+            piece.readBytes(bytes, piece.readableBytes())
+        }
+
+        fun text(): String = bytes.toString(Charsets.UTF_8)
+    }
+
+    private companion object {
+        /** Longest idle time of a connection that is used again, in milliseconds. */
+        const val MAX_IDLE_MILLIS = 3_000L
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -0,0 +1,184 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.core.Clock
+import buckthornbay.core.admission.ServiceAccounts
+import buckthornbay.core.membership.HeartbeatOut
+import buckthornbay.core.membership.HostReport
+import buckthornbay.core.membership.Membership
+import buckthornbay.protocol.Heartbeat
+import buckthornbay.protocol.Member
+import buckthornbay.protocol.MemberStatus
+import buckthornbay.protocol.WireJson
+import buckthornbay.protocol.WorkspaceId
+import buckthornbay.store.CollectionObject
+import buckthornbay.store.HttpCall
+import buckthornbay.store.HttpReply
+import buckthornbay.store.HttpTransport
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.JsonElement
+import kotlin.math.roundToLong
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * What hosts tell each other in every period.
+ *
+ * @property registryRevision revision of the sender's registrations.
+ * @property totals work that the sender began since its start, in tokens by workspace.
+ */
+@Serializable
+internal data class PeerNews(
+    @SerialName("h") val heartbeat: Heartbeat,
+    @SerialName("r") val registryRevision: Long,
+    @SerialName("t") val totals: Map<WorkspaceId, Long>,
+)
+
+/** All that a host knows from the store, for a peer that the store does not answer. */
+@Serializable
+internal data class PeerSnapshot(
+    @SerialName("c") val configuration: JsonElement?,
+    @SerialName("r") val registryRevision: Long,
+    @SerialName("u") val registrations: Map<String, JsonElement>,
+)
+
+/** Exchanges news with peers: who is alive, how far each is with configuration and registrations, and what was served. */
+internal class PeerExchange(
+    private val membership: Membership,
+    private val accounts: ServiceAccounts,
+    private val knowledge: FleetKnowledge,
+    private val transport: HttpTransport,
+    private val clock: Clock,
+    private val log: DecisionLog,
+    private val scope: CoroutineScope,
+) {
+    private val registryRevisions = HashMap<String, Long>()
+    private var fetching = false
+    private var membersSeen = emptySet<Member>()
+
+    fun start() {
+        scope.launch {
+            while (true) {
+                tick()
+                delay(TICK_MILLIS.milliseconds)
+            }
+        }
+    }
+
+    /** Tells a few peers at once that this host leaves. */
+    fun announceLeaving() {
+        membership.leave()
+        membership.announce(report()).forEach(::send)
+    }
+
+    /** Answers what a peer sent to [target]. */
+    fun answer(target: String, body: String): HttpReply = when (target) {
+        NEWS -> try {
+            HttpReply(OK, receive(WireJson.decodeFromString(PeerNews.serializer(), body)))
+        } catch (e: SerializationException) {
+            log.warning("event=peer_unreadable reason=\"${e.message}\"")
+            HttpReply(BAD_REQUEST, "")
+        }
+        SNAPSHOT -> HttpReply(OK, WireJson.encodeToString(PeerSnapshot.serializer(), snapshot()))
+        else -> HttpReply(NOT_FOUND, "")
+    }
+
+    private fun tick() {
+        membership.tick(clock.nowMillis(), report()).forEach(::send)
+        noteMembers()
+    }
+
+    private fun send(out: HeartbeatOut) {
+        scope.launch {
+            val body = WireJson.encodeToString(PeerNews.serializer(), news(out.heartbeat))
+            val reply = transport.call(out.url, HttpCall("POST", NEWS, body), CALL_TIMEOUT_MILLIS).getOrElse { return@launch }
+            if (reply.status == OK && reply.body.isNotEmpty()) receiveReply(out.url, reply.body)
+        }
+    }
+
+    private fun receiveReply(url: String, body: String) {
+        try {
+            receive(WireJson.decodeFromString(PeerNews.serializer(), body))
+        } catch (e: SerializationException) {
+            log.warning("event=peer_unreadable peer=$url reason=\"${e.message}\"")
+        }
+    }
+
+    /** Takes in [news] and returns the body of the answer. */
+    private fun receive(news: PeerNews): String {
+        val nowMillis = clock.nowMillis()
+        val sender = news.heartbeat.sender
+        accounts.receive(nowMillis, sender.host, sender.incarnation, news.totals.mapValues { it.value.toDouble() })
+        registryRevisions[sender.url] = news.registryRevision
+        catchUp(sender.url, news)
+        val reply = membership.receive(nowMillis, news.heartbeat, report()) ?: return ""
+        return WireJson.encodeToString(PeerNews.serializer(), news(reply.heartbeat))
+    }
+
+    /** Fetches what [url] knows where it is ahead; the store's own watch is usually faster. */
+    private fun catchUp(url: String, news: PeerNews) {
+        val newerConfiguration = news.heartbeat.stateVersion > knowledge.configurationVersion
+        val newerRegistrations = news.registryRevision > knowledge.registryRevision
+        if (fetching || (!newerConfiguration && !newerRegistrations)) return
+        fetching = true
+        scope.launch {
+            delay(STORE_HEAD_START_MILLIS.milliseconds)
+            val behind = news.heartbeat.stateVersion > knowledge.configurationVersion ||
+                news.registryRevision > knowledge.registryRevision
+            if (behind) fetch(url)
+            fetching = false
+        }
+    }
+
+    private suspend fun fetch(url: String) {
+        val reply = transport.call(url, HttpCall("GET", SNAPSHOT), CALL_TIMEOUT_MILLIS).getOrElse { return }
+        val snapshot = try {
+            WireJson.decodeFromString(PeerSnapshot.serializer(), reply.body)
+        } catch (e: SerializationException) {
+            return log.warning("event=peer_unreadable peer=$url reason=\"${e.message}\"")
+        }
+        snapshot.configuration?.let { knowledge.offerConfiguration(it, url) }
+        if (snapshot.registryRevision > knowledge.registryRevision) {
+            val objects = snapshot.registrations.map { (name, value) -> CollectionObject(name, value) }
+            knowledge.replaceRegistrations(objects, snapshot.registryRevision, url)
+        }
+    }
+
+    private fun snapshot() = PeerSnapshot(knowledge.configuration, knowledge.registryRevision, knowledge.registrations())
+
+    private fun news(heartbeat: Heartbeat) =
+        PeerNews(heartbeat, knowledge.registryRevision, accounts.totals().mapValues { it.value.roundToLong() })
+
+    private fun report() = HostReport(knowledge.configurationVersion, loadPermille = 0)
+
+    private fun noteMembers() {
+        val members = membership.all().toSet()
+        if (members == membersSeen) return
+        for (member in members - membersSeen) {
+            log.belief("event=member host=${member.host} status=${member.status} incarnation=${member.incarnation}")
+            if (member.status == MemberStatus.DEAD) accounts.forget(member.host)
+        }
+        membersSeen = members
+    }
+
+    private companion object {
+        const val NEWS = "/v1/peers/news"
+        const val SNAPSHOT = "/v1/peers/snapshot"
+        const val OK = 200
+        const val BAD_REQUEST = 400
+        const val NOT_FOUND = 404
+
+        /** How often the membership is asked what is due, in milliseconds; a third of the period between heartbeats. */
+        const val TICK_MILLIS = 100L
+
+        /** Time for a peer's answer, in milliseconds; some round trips between regions. */
+        const val CALL_TIMEOUT_MILLIS = 400L
+
+        /** How long the store's watch has to bring what a peer already knows, in milliseconds. */
+        const val STORE_HEAD_START_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -0,0 +1,137 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.core.Clock
+import buckthornbay.core.registry.UpstreamRegistry
+import buckthornbay.core.wire.FleetFormat
+import buckthornbay.store.CollectionChange
+import buckthornbay.store.CollectionChanges
+import buckthornbay.store.CollectionSnapshot
+import buckthornbay.store.ObjectCollections
+import buckthornbay.store.StoreError
+import com.github.michaelbull.result.getOrElse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.apache.commons.rng.UniformRandomProvider
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Keeps [knowledge] in step with the store by one watch for the configuration and one for the registrations. */
+internal class StoreWatcher(
+    private val store: ObjectCollections,
+    private val format: FleetFormat,
+    private val knowledge: FleetKnowledge,
+    private val registry: UpstreamRegistry,
+    private val clock: Clock,
+    private val log: DecisionLog,
+    private val random: UniformRandomProvider,
+) {
+    private var lost = false
+
+    /** When the store last answered, in milliseconds. */
+    var heardAtMillis: Long = clock.nowMillis()
+        private set
+
+    fun start(scope: CoroutineScope) {
+        scope.launch { follow(ConfigurationTarget()) }
+        scope.launch { follow(RegistrationsTarget()) }
+    }
+
+    private interface Target {
+        val kind: String
+
+        fun listed(snapshot: CollectionSnapshot)
+
+        fun changed(changes: CollectionChanges)
+    }
+
+    private suspend fun follow(target: Target) {
+        var failures = 0
+        var revision: Long? = null
+        while (true) {
+            val known = revision
+            val error = if (known == null) {
+                val snapshot = store.list(target.kind)
+                snapshot.getOrElse { null }?.let {
+                    answered()
+                    target.listed(it)
+                    revision = it.revision
+                }
+                if (snapshot.isErr) snapshot.error else null
+            } else {
+                val changes = store.watch(target.kind, known, WATCH_MILLIS)
+                changes.getOrElse { null }?.let {
+                    answered()
+                    target.changed(it)
+                    revision = maxOf(known, it.revision)
+                }
+                if (changes.isErr) changes.error else null
+            }
+            if (error == null) {
+                failures = 0
+                continue
+            }
+            if (error == StoreError.HistoryGone) {
+                log.belief("event=store_history_gone kind=${target.kind} revision=$known")
+                revision = null
+                continue
+            }
+            failures++
+            failed(target.kind, error)
+            delay(backoffMillis(failures).milliseconds)
+        }
+    }
+
+    private fun answered() {
+        heardAtMillis = clock.nowMillis()
+        registry.storeRegained(heardAtMillis)
+        if (lost) log.belief("event=store_regained")
+        lost = false
+    }
+
+    private fun failed(kind: String, error: StoreError) {
+        registry.storeLost()
+        if (!lost) log.warning("event=store_lost kind=$kind reason=\"$error\"")
+        lost = true
+    }
+
+    private fun backoffMillis(failures: Int): Long {
+        val longest = (FIRST_BACKOFF_MILLIS shl (failures - 1).coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(LONGEST_BACKOFF_MILLIS)
+        return longest / 2 + (random.nextDouble() * longest / 2).toLong()
+    }
+
+    private inner class ConfigurationTarget : Target {
+        override val kind = format.configurationKind
+
+        override fun listed(snapshot: CollectionSnapshot) =
+            snapshot.objects.filter { it.name == format.configurationName }.forEach { knowledge.offerConfiguration(it.value, STORE) }
+
+        override fun changed(changes: CollectionChanges) = changes.changes.forEach { change ->
+            if (change is CollectionChange.Put && change.stored.name == format.configurationName) {
+                knowledge.offerConfiguration(change.stored.value, STORE)
+            }
+        }
+    }
+
+    private inner class RegistrationsTarget : Target {
+        override val kind = format.registrationsKind
+
+        override fun listed(snapshot: CollectionSnapshot) =
+            knowledge.replaceRegistrations(snapshot.objects, snapshot.revision, STORE)
+
+        override fun changed(changes: CollectionChanges) = knowledge.applyRegistrations(changes.changes, changes.revision)
+    }
+
+    private companion object {
+        const val STORE = "store"
+
+        /** How long a watch waits, in milliseconds; a silent one is noticed a call's time later, within the bound for changes. */
+        const val WATCH_MILLIS = 1_500L
+
+        /** First pause after a failed call, in milliseconds; ten times the store's usual time for an answer. */
+        const val FIRST_BACKOFF_MILLIS = 40L
+        const val MAX_DOUBLINGS = 5
+
+        /** Longest pause, in milliseconds, so that a store that is back is noticed well within the bound for changes. */
+        const val LONGEST_BACKOFF_MILLIS = 600L
+    }
+}
--- a/router/src/test/kotlin/buckthornbay/router/TestFleet.kt
+++ b/router/src/test/kotlin/buckthornbay/router/TestFleet.kt
@@ -3,7 +3,7 @@
 import arrow.fx.coroutines.ResourceScope
 import arrow.fx.coroutines.resourceScope
 import buckthornbay.core.config.readDesiredState
-import buckthornbay.platform.DesiredStateStore
+import buckthornbay.store.DesiredStateStore
 import buckthornbay.protocol.DesiredState
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.RegionId
--- a/platform/src/main/kotlin/buckthornbay/platform/ObjectStore.kt
+++ b/store/src/main/kotlin/buckthornbay/store/ObjectStore.kt
@@ -1,4 +1,4 @@
-package buckthornbay.platform
+package buckthornbay.store
 
 import com.github.michaelbull.result.Result
 import kotlinx.serialization.Serializable
@@ -38,6 +38,12 @@
     /** The platform can't be reached; nothing was changed. */
     public data class Unavailable(public val reason: String) : StoreError
 
+    /** The changes since the revision that was asked for are not kept any more; list again. */
+    public data object HistoryGone : StoreError
+
+    /** The answer is not what the store's protocol says. */
+    public data class Malformed(public val reason: String) : StoreError
+
     /** The reply was lost; the change may have taken effect. Read back to settle it. */
     public data class OutcomeUnknown(public val reason: String) : StoreError
 }
--- a/platform/src/main/kotlin/buckthornbay/platform/SystemClock.kt
+++ b/store/src/main/kotlin/buckthornbay/store/SystemClock.kt
@@ -1,4 +1,4 @@
-package buckthornbay.platform
+package buckthornbay.store
 
 import buckthornbay.core.Clock
 
--- a/testkit/src/main/kotlin/buckthornbay/testkit/InMemoryObjectStore.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/InMemoryObjectStore.kt
@@ -1,10 +1,10 @@
 package buckthornbay.testkit
 
-import buckthornbay.platform.HostList
-import buckthornbay.platform.ListedHost
-import buckthornbay.platform.ObjectStore
-import buckthornbay.platform.StoreError
-import buckthornbay.platform.StoredObject
+import buckthornbay.store.HostList
+import buckthornbay.store.ListedHost
+import buckthornbay.store.ObjectStore
+import buckthornbay.store.StoreError
+import buckthornbay.store.StoredObject
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
--- a/testkit/src/main/kotlin/buckthornbay/testkit/PlatformServer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/PlatformServer.kt
@@ -1,8 +1,8 @@
 package buckthornbay.testkit
 
-import buckthornbay.platform.ListedHost
-import buckthornbay.platform.StoreError
-import buckthornbay.platform.StoredObject
+import buckthornbay.store.ListedHost
+import buckthornbay.store.StoreError
+import buckthornbay.store.StoredObject
 import buckthornbay.protocol.WireJson
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
@@ -77,6 +77,8 @@
         is StoreError.RateLimited -> respond(HttpStatusCode.TooManyRequests)
         is StoreError.TooLarge -> respond(HttpStatusCode.PayloadTooLarge)
         is StoreError.Unavailable -> respond(HttpStatusCode.ServiceUnavailable)
+        is StoreError.HistoryGone -> respond(HttpStatusCode.Gone)
+        is StoreError.Malformed -> respond(HttpStatusCode.InternalServerError)
         is StoreError.OutcomeUnknown -> awaitCancellation()
     }
 }
--- a/testkit/src/main/kotlin/buckthornbay/testkit/StandIns.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/StandIns.kt
@@ -1,7 +1,7 @@
 package buckthornbay.testkit
 
 import arrow.fx.coroutines.ResourceScope
-import buckthornbay.platform.ListedHost
+import buckthornbay.store.ListedHost
 import buckthornbay.protocol.DesiredState
 import buckthornbay.protocol.ServiceKind
 import buckthornbay.protocol.Upstream
--- a/testkit/src/test/kotlin/buckthornbay/testkit/ObjectStoreContractTest.kt
+++ b/testkit/src/test/kotlin/buckthornbay/testkit/ObjectStoreContractTest.kt
@@ -1,11 +1,11 @@
 package buckthornbay.testkit
 
 import arrow.fx.coroutines.resourceScope
-import buckthornbay.platform.DesiredStateStore
-import buckthornbay.platform.HttpObjectStore
-import buckthornbay.platform.HttpStoreSettings
-import buckthornbay.platform.ObjectStore
-import buckthornbay.platform.StoreError
+import buckthornbay.store.DesiredStateStore
+import buckthornbay.store.HttpObjectStore
+import buckthornbay.store.HttpStoreSettings
+import buckthornbay.store.ObjectStore
+import buckthornbay.store.StoreError
 import buckthornbay.protocol.DesiredState
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
