Pace engines by what their streams show, gather prompt parts, divide by max-min shares

Cause: with wide windows every engine read prompts without pause (540,000 tokens/s where the operator's figure is 280,000), so that streams paused for over 300 ms and the longest answers ran out of time; each region kept its own copy of shared parts. Change: rate per engine rising step by step and falling on late first tokens, long pauses or refusals; one first engine for a part in the whole fleet; demand by workspace exchanged between hosts and divided by max-min fairness.

--- a/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
@@ -20,6 +20,10 @@
         return minOf(limitMillis, deadlineAtMillis - settings.leastServiceMillis)
     }
 
+    /** Returns until when a request may hold out for the upstream that is best for all, in milliseconds. */
+    public fun patientUntilMillis(route: Route, arrivedAtMillis: Long): Long =
+        arrivedAtMillis + ((route.objectiveMillis ?: route.timeoutMillis) * settings.patientPart).toLong()
+
     /**
      * Returns after which time a caller should come back that has [leftMillis] left, in milliseconds.
      *
@@ -37,12 +41,14 @@
  * Constants of [AdmissionPolicy].
  *
  * @property waitingPart part of a route's objective that may be spent waiting; the rest is for reading the prompt.
+ * @property patientPart part of a route's objective that may be spent waiting for one upstream while others have room.
  * @property leastServiceMillis time that must be left for serving, in milliseconds.
  * @property callerPatience part of its remaining time that a caller spends on waiting for its return, at most.
  * @property shortestReturn part of the objective before which a return finds the same load.
  */
 public data class AdmissionSettings(
     public val waitingPart: Double = 0.6,
+    public val patientPart: Double = 0.3,
     public val leastServiceMillis: Long = 100,
     public val callerPatience: Double = 0.3,
     public val shortestReturn: Double = 0.5,
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -6,23 +6,26 @@
  * A request that waits at this host for room at an upstream.
  *
  * @property workspace whose share it draws on; null on public routes, which share one place.
+ * @property withinShare whether the request goes before those of workspaces that ask for more than their share.
  * @property giveUpAtMillis when waiting on can't bring an answer in time any more.
  */
 public class Waiting<T>(
     public val id: String,
     public val workspace: WorkspaceId?,
+    public val withinShare: Boolean,
     public val arrivedAtMillis: Long,
     public val giveUpAtMillis: Long,
     public val request: T,
 )
 
 /**
- * The requests for one service that wait at this host, the workspace that was given least lately first.
+ * The requests for one service that wait at this host: those within their workspace's share first, and among these the workspace
+ * that was given least lately.
  *
  * It answers load beyond what the upstreams can take, from few workspaces or many: engines run requests as they arrive, so what
  * must be ordered waits here. Requests of one workspace keep their order of arrival.
  */
-public class FairQueue<T>(private val accounts: ServiceAccounts) {
+public class FairQueue<T>(private val accounts: FleetAccounts) {
     private val byWorkspace = LinkedHashMap<WorkspaceId?, ArrayDeque<Waiting<T>>>()
 
     /** Requests that wait. */
@@ -70,9 +73,14 @@
     }
 
     private fun inOrder(nowMillis: Long): List<Waiting<T>> = byWorkspace.values
-        .map { it.first() }
-        .sortedWith(compareBy({ recentTokensOf(nowMillis, it) }, { it.arrivedAtMillis }))
+        .flatMap { it.take(OFFERED_EACH) }
+        .sortedWith(compareBy({ !it.withinShare }, { recentTokensOf(nowMillis, it) }, { it.arrivedAtMillis }))
 
     private fun recentTokensOf(nowMillis: Long, waiting: Waiting<T>): Double =
         waiting.workspace?.let { accounts.recentTokens(nowMillis, it) } ?: 0.0
+
+    private companion object {
+        /** Requests of one workspace that are offered in one round; the first may wait for an upstream that is full. */
+        const val OFFERED_EACH = 4
+    }
 }
--- a/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
@@ -6,6 +6,9 @@
  * It answers load in which reading prompts is the scarce resource: the wait before a first token is the unread tokens ahead over
  * the engine's rate. The host knows its own unread tokens; those of other hosts show in how much longer its requests waited
  * than its own tokens explain. That estimate is stale when it is made, so it fades.
+ *
+ * Reading prompts also holds up the tokens of every request that runs, so the host sends at a rate that rises step by step while its
+ * requests begin in time and its streams flow, and falls by a part when they don't.
  */
 public class EngineLoad(private val settings: EngineLoadSettings = EngineLoadSettings()) : UpstreamLoad {
     private class Unread(val cost: Double, val sentAtMillis: Long, val aheadTokens: Double)
@@ -16,15 +19,18 @@
     private var othersWaitMillis = 0.0
     private var othersSeenAtMillis = 0L
     private var millisPerToken = settings.initialMillisPerToken
-    private var windowTokens = settings.initialWindowTokens
-    private var shrunkAtMillis = Long.MIN_VALUE / 2
+    private var tokensPerMilli = settings.initialTokensPerMilli
+    private var credit = 0.0
+    private var creditAtMillis = 0L
+    private var slowedAtMillis = Long.MIN_VALUE / 2
+    private var raisedAtMillis = 0L
     private var slowdown = 1.0
     private var slowdownSeenAtMillis = 0L
 
     override val inFlight: Int get() = unread.size + running.size
 
     override fun hasRoom(nowMillis: Long, cost: Double): Boolean =
-        unread.isEmpty() || unreadTokens + cost <= windowTokens
+        creditAt(nowMillis) >= 0 && (unread.isEmpty() || unreadTokens + cost <= settings.maxUnreadTokens)
 
     override fun expectedWaitMillis(nowMillis: Long): Double {
         val fade = 1.0 - (nowMillis - othersSeenAtMillis).toDouble() / settings.fadeMillis
@@ -35,6 +41,8 @@
     override fun serviceMillis(cost: Double): Double = cost * millisPerToken
 
     override fun sent(nowMillis: Long, id: String, cost: Double) {
+        credit = creditAt(nowMillis) - cost
+        creditAtMillis = nowMillis
         unread[id] = Unread(cost, nowMillis, unreadTokens)
         unreadTokens += cost
     }
@@ -53,14 +61,19 @@
         othersWaitMillis += settings.smoothing * (othersMillis - othersWaitMillis)
         othersSeenAtMillis = nowMillis
         val waitedMillis = elapsedMillis - entry.cost * millisPerToken
-        adjustWindow(nowMillis, waitedMillis, entry.cost, full = report != null && report.waiting > 0)
+        val full = report != null && report.waiting > 0
+        if (full || waitedMillis > settings.targetWaitMillis) slow(nowMillis) else raise(nowMillis)
+    }
+
+    override fun paused(nowMillis: Long, gapMillis: Long, allowedMillis: Long) {
+        if (gapMillis > allowedMillis * settings.targetGap) slow(nowMillis) else raise(nowMillis)
     }
 
     override fun ended(nowMillis: Long, id: String, outcome: SendOutcome) {
         val unstarted = remove(id)
         running -= id
-        if (outcome == SendOutcome.REFUSED) shrink(nowMillis)
-        if (outcome == SendOutcome.FAILED && unstarted != null) shrink(nowMillis)
+        if (outcome == SendOutcome.REFUSED) slow(nowMillis)
+        if (outcome == SendOutcome.FAILED && unstarted != null) slow(nowMillis)
     }
 
     private fun remove(id: String): Unread? {
@@ -77,18 +90,26 @@
         millisPerToken = (millisPerToken + step * (sample - millisPerToken)).coerceIn(settings.millisPerTokenRange)
     }
 
-    private fun adjustWindow(nowMillis: Long, waitedMillis: Double, cost: Double, full: Boolean) {
-        if (full || waitedMillis > settings.targetWaitMillis) {
-            shrink(nowMillis)
-        } else {
-            windowTokens = (windowTokens + settings.growth * cost).coerceAtMost(settings.maxWindowTokens)
-        }
+    private fun creditAt(nowMillis: Long): Double =
+        (credit + (nowMillis - creditAtMillis) * tokensPerMilli).coerceAtMost(settings.burstTokens)
+
+    private fun slow(nowMillis: Long) {
+        if (nowMillis - slowedAtMillis < settings.slowPauseMillis) return
+        slowedAtMillis = nowMillis
+        setRate(nowMillis, tokensPerMilli * settings.slowFactor)
+    }
+
+    /** Raises the rate where this host uses it; one that sends little learns nothing from good answers. */
+    private fun raise(nowMillis: Long) {
+        if (nowMillis - raisedAtMillis < settings.raisePauseMillis || creditAt(nowMillis) >= settings.burstTokens) return
+        raisedAtMillis = nowMillis
+        setRate(nowMillis, tokensPerMilli + settings.raiseTokensPerMilli)
     }
 
-    private fun shrink(nowMillis: Long) {
-        if (nowMillis - shrunkAtMillis < settings.shrinkPauseMillis) return
-        shrunkAtMillis = nowMillis
-        windowTokens = (windowTokens * settings.shrinkFactor).coerceAtLeast(settings.minWindowTokens)
+    private fun setRate(nowMillis: Long, rate: Double) {
+        credit = creditAt(nowMillis)
+        creditAtMillis = nowMillis
+        tokensPerMilli = rate.coerceIn(settings.rateRange)
     }
 
     private fun currentSlowdown(nowMillis: Long): Double =
@@ -108,9 +129,16 @@
  * @property fadeMillis time after which that estimate counts for nothing, in milliseconds; queues of engines turn over in less.
  * @property targetWaitMillis longest wait in the engine that is no sign of overload, in milliseconds; a quarter of the usual
  * objective of 800 ms, so that the rest of it can be spent in the host's fair queue.
- * @property growth tokens by which the window grows for each token that began in time.
- * @property shrinkFactor part of the window that is left after a sign of overload.
- * @property shrinkPauseMillis least time between two such steps, in milliseconds: one turnover of the engine's queue.
+ * @property targetGap part of the longest pause between events that is no sign of overload; neighbours on the engine's machine slow
+ * it down without notice, and the rest is for that.
+ * @property initialTokensPerMilli rate before anything was seen, in tokens a millisecond; an even part of an engine for nine hosts.
+ * @property rateRange bounds of the rate; the upper one is a whole engine's.
+ * @property raiseTokensPerMilli step by which the rate rises.
+ * @property raisePauseMillis least time between two such steps, in milliseconds.
+ * @property slowFactor part of the rate that is left after a sign of overload.
+ * @property slowPauseMillis least time between two such steps, in milliseconds: one turnover of the engine's queue.
+ * @property burstTokens tokens that may be sent at once after a pause.
+ * @property maxUnreadTokens tokens of this host that may be unread at one engine; what is there is lost when the engine is.
  * @property slowdownFreshMillis how long a reported slowdown counts, in milliseconds; neighbours change several times a second.
  */
 public data class EngineLoadSettings(
@@ -123,11 +151,14 @@
     public val smoothing: Double = 0.4,
     public val fadeMillis: Double = 1_500.0,
     public val targetWaitMillis: Double = 200.0,
-    public val growth: Double = 0.15,
-    public val shrinkFactor: Double = 0.8,
-    public val shrinkPauseMillis: Long = 150,
-    public val initialWindowTokens: Double = 10_000.0,
-    public val minWindowTokens: Double = 1_500.0,
-    public val maxWindowTokens: Double = 80_000.0,
+    public val targetGap: Double = 1.0,
+    public val initialTokensPerMilli: Double = 10.0,
+    public val rateRange: ClosedFloatingPointRange<Double> = 1.0..100.0,
+    public val raiseTokensPerMilli: Double = 0.4,
+    public val raisePauseMillis: Long = 100,
+    public val slowFactor: Double = 0.85,
+    public val slowPauseMillis: Long = 200,
+    public val burstTokens: Double = 6_000.0,
+    public val maxUnreadTokens: Double = 30_000.0,
     public val slowdownFreshMillis: Long = 300,
 )
--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -28,34 +28,38 @@
 /**
  * Chooses the upstream with the least expected time, counting work that other upstreams would be spared.
  *
- * It answers load in which requests share long prompt parts and engines are nearly full: a request goes where its shared part is
- * kept or, by rendezvous hashing, where all hosts of its region send that part first, until waiting there costs more than
- * reading the part elsewhere.
+ * It answers load in which requests share long prompt parts and engines are nearly full: every host sends a part to the same
+ * engine first, by rendezvous hashing, until waiting there costs more than reading the part elsewhere.
  */
 public class Placement(private val region: RegionId, private val settings: PlacementSettings = PlacementSettings()) {
-    /** Returns the best of [candidates] that has room, or null where none has. */
-    public fun choose(nowMillis: Long, candidates: List<Candidate>, demand: TokenDemand?): Choice? {
+    /**
+     * Returns the best of [candidates] that has room, or null where none has.
+     *
+     * A [patient] request waits for the upstream that is best for all rather than take one that only happens to have room.
+     */
+    public fun choose(nowMillis: Long, candidates: List<Candidate>, demand: TokenDemand?, patient: Boolean): Choice? {
         val usable = candidates.filter { it.trust.isUsable(nowMillis) }
         val home = demand?.sharedPart?.let { homeOf(it, usable) }
-        var best: Choice? = null
-        var bestPrice = Double.MAX_VALUE
-        for (candidate in usable) {
-            val cost = costAt(candidate, demand)
-            if (!candidate.load.hasRoom(nowMillis, cost)) continue
-            val expectedMillis = expectedMillis(nowMillis, candidate, cost)
-            val price = expectedMillis + extraPrice(nowMillis, candidate, cost, candidate === home)
-            if (price < bestPrice) {
-                best = Choice(candidate, cost, expectedMillis)
-                bestPrice = price
-            }
-        }
-        return best
+        val offers = usable.map { offer(nowMillis, it, demand, it === home) }
+        val withRoom = offers.filter { it.upstream.load.hasRoom(nowMillis, it.cost) }
+        val best = withRoom.minByOrNull { it.price } ?: return null
+        val worthWaiting = patient && offers.any { it.price + settings.patiencePrice < best.price }
+        return if (worthWaiting) null else Choice(best.upstream, best.cost, best.expectedMillis)
     }
 
-    private fun costAt(candidate: Candidate, demand: TokenDemand?): Double {
+    private class Offer(val upstream: Candidate, val cost: Double, val expectedMillis: Double, val price: Double)
+
+    private fun offer(nowMillis: Long, candidate: Candidate, demand: TokenDemand?, isHome: Boolean): Offer {
+        val cost = costAt(nowMillis, candidate, demand, isHome)
+        val expectedMillis = expectedMillis(nowMillis, candidate, cost)
+        return Offer(candidate, cost, expectedMillis, expectedMillis + extraPrice(nowMillis, candidate, cost))
+    }
+
+    private fun costAt(nowMillis: Long, candidate: Candidate, demand: TokenDemand?, isHome: Boolean): Double {
         if (demand == null) return 1.0
-        val cached = candidate.cache?.cachedTokens(demand) ?: 0
-        return (demand.promptTokens - cached + settings.leastReadTokens).toDouble()
+        val known = candidate.cache?.cachedTokens(nowMillis, demand) ?: 0
+        val cached = if (isHome) maxOf(known, demand.sharedTokens) else known
+        return (demand.promptTokens - cached).coerceAtLeast(settings.leastReadTokens).toDouble()
     }
 
     private fun expectedMillis(nowMillis: Long, candidate: Candidate, cost: Double): Double {
@@ -63,19 +67,16 @@
         return candidate.load.expectedWaitMillis(nowMillis) + candidate.load.serviceMillis(cost) + distance
     }
 
-    private fun extraPrice(nowMillis: Long, candidate: Candidate, cost: Double, isHome: Boolean): Double {
+    private fun extraPrice(nowMillis: Long, candidate: Candidate, cost: Double): Double {
         val failureRate = candidate.trust.expectedFailureRate(nowMillis)
         val failures = settings.failureMillis * failureRate / (1.0 - failureRate).coerceAtLeast(LEAST_SUCCESS)
         val capacity = if (candidate.cache == null) 0.0 else settings.capacityWeight * candidate.load.serviceMillis(cost)
         val traffic = if (candidate.region == region) 0.0 else settings.regionTrafficMillis
-        val stray = if (isHome || candidate.cache == null) 0.0 else settings.strayMillis
-        return failures + capacity + traffic + stray
+        return failures + capacity + traffic
     }
 
-    private fun homeOf(part: String, candidates: List<Candidate>): Candidate? {
-        val near = candidates.filter { it.region == region }.ifEmpty { candidates }
-        return near.maxByOrNull { scoreOf(part, it.id) }
-    }
+    private fun homeOf(part: String, candidates: List<Candidate>): Candidate? =
+        candidates.filter { it.cache != null }.maxByOrNull { scoreOf(part, it.id) }
 
     private fun scoreOf(part: String, upstream: UpstreamId): Long {
         val bytes = "$part|${upstream.value}".encodeToByteArray()
@@ -93,15 +94,15 @@
  * @property capacityWeight how much the reading time that a choice costs all others counts beside the request's own wait.
  * @property regionRoundTripMillis time of a round trip to another region, in milliseconds.
  * @property regionTrafficMillis wait that is accepted to spare the paid traffic between regions, in milliseconds.
- * @property strayMillis wait that is accepted at a shared part's first engine, so that parts gather on few engines.
  * @property failureMillis what a failed attempt costs, in milliseconds: a usual objective.
  * @property leastReadTokens tokens that an engine reads even of a prompt that it keeps.
+ * @property patiencePrice advantage of another upstream for which a patient request waits, in milliseconds.
  */
 public data class PlacementSettings(
-    public val capacityWeight: Double = 1.5,
+    public val capacityWeight: Double = 4.0,
     public val regionRoundTripMillis: Double = 16.0,
     public val regionTrafficMillis: Double = 10.0,
-    public val strayMillis: Double = 15.0,
     public val failureMillis: Double = 600.0,
     public val leastReadTokens: Int = 16,
+    public val patiencePrice: Double = 60.0,
 )
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -1,7 +1,9 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.routing.RouteMatch
 import buckthornbay.core.routing.RouteTable
+import buckthornbay.protocol.WorkspaceId
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponseStatus
 
@@ -72,12 +74,14 @@
         }
         val nowMillis = context.clock.nowMillis()
         val waitsMillis = remainingMillis ?: match.route.timeoutMillis
+        val demand = context.callerInterface.tokenDemand(request.headers[names.tokenDemand], request.headers[names.promptParts])
         val terms = RequestTerms(
             id = id,
             route = match.route,
             workspace = match.workspace?.id,
             service = service,
-            demand = context.callerInterface.tokenDemand(request.headers[names.tokenDemand], request.headers[names.promptParts]),
+            demand = demand,
+            withinShare = isWithinShare(match.workspace?.id, demand),
             arrivedAtMillis = nowMillis,
             callerWaitsUntilMillis = nowMillis + waitsMillis,
             deadlineAtMillis = nowMillis + minOf(waitsMillis, match.route.timeoutMillis),
@@ -89,6 +93,11 @@
         return proxied
     }
 
+    private fun isWithinShare(workspace: WorkspaceId?, demand: TokenDemand?): Boolean {
+        if (workspace == null || demand == null) return true
+        return context.shares.ask(context.clock.nowMillis(), workspace, demand.workTokens)
+    }
+
     private fun turnAway(
         request: ReceivedRequest,
         caller: CallerConnection,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -33,9 +33,10 @@
         "event=attempt_failed id=${terms.id} route=${terms.route.name} upstream=$upstream kind=$kind reason=\"$reason\""
     }
 
-    fun ended(terms: RequestTerms, state: RequestState, reason: String, elapsedMillis: Long) = line {
-        "event=ended id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} state=$state " +
-            "elapsed_ms=$elapsedMillis reason=\"$reason\""
+    fun ended(terms: RequestTerms, times: RequestTimes, reason: String) = line {
+        "event=ended id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} state=${times.state} " +
+            "within_share=${terms.withinShare} elapsed_ms=${times.elapsedMillis} first_event_ms=${times.firstEventMillis} " +
+            "longest_pause_ms=${times.longestPauseMillis} reason=\"$reason\""
     }
 
     fun turnedAway(id: String?, status: Int, reason: String) = line {
@@ -76,5 +77,17 @@
     }
 }
 
+/**
+ * How a request ended and how long its parts took, in milliseconds.
+ *
+ * @property firstEventMillis time to the first event that was passed on; -1 where there was none.
+ */
+internal class RequestTimes(
+    val state: RequestState,
+    val elapsedMillis: Long,
+    val firstEventMillis: Long,
+    val longestPauseMillis: Long,
+)
+
 /** Writes [value] with two digits, independent of the machine's locale. */
 internal fun twoDigits(value: Double): String = String.format(Locale.ROOT, "%.2f", value)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
@@ -2,7 +2,7 @@
 
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.FairQueue
-import buckthornbay.core.admission.ServiceAccounts
+import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.admission.Waiting
 import buckthornbay.core.load.Placement
 import buckthornbay.core.request.FleetRetryBudget
@@ -12,7 +12,7 @@
 /** Brings waiting requests and upstreams together; carries out what placement, fair queue and budgets decide. */
 internal class Dispatcher(
     private val upstreams: UpstreamTable,
-    private val accounts: ServiceAccounts,
+    private val accounts: FleetAccounts,
     private val placement: Placement,
     private val settings: RetrySettings,
     private val clock: Clock,
@@ -27,7 +27,7 @@
     /** Takes in a request that is to be sent, for the first time or again. */
     fun submit(request: ProxiedRequest) {
         if (upstreams.usable(request.service).isEmpty()) return request.refuse("no upstream of the service may be used")
-        val waiting = Waiting(request.id, request.workspaceId, clock.nowMillis(), request.giveUpAtMillis(), request)
+        val waiting = Waiting(request.id, request.workspaceId, request.withinShare, clock.nowMillis(), request.giveUpAtMillis(), request)
         request.waiting = waiting
         queueOf(request.service).add(waiting)
         place(request.service)
@@ -69,12 +69,12 @@
         val nowMillis = clock.nowMillis()
         val usable = upstreams.usable(request.service)
         val fresh = usable.filterNot { it.entry.id in request.triedUpstreams }.ifEmpty { usable }
-        val choice = placement.choose(nowMillis, fresh.map { it.candidate }, request.demand) ?: return false
+        val choice = placement.choose(nowMillis, fresh.map { it.candidate }, request.demand, request.isPatient(nowMillis)) ?: return false
         val upstream = fresh.first { it.candidate === choice.upstream }
         request.waiting = null
         request.demand?.let { demand ->
             request.workspaceId?.let { accounts.charge(nowMillis, it, demand.workTokens) }
-            upstream.candidate.cache?.noteRead(demand)
+            upstream.candidate.cache?.noteRead(nowMillis, demand)
         }
         request.send(upstream, choice)
         return true
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -2,6 +2,7 @@
 
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.AdmissionPolicy
+import buckthornbay.core.admission.FairShares
 import buckthornbay.core.wire.CallerInterface
 import io.netty.buffer.ByteBufAllocator
 import io.netty.channel.EventLoop
@@ -14,6 +15,7 @@
     val callerInterface: CallerInterface,
     val connections: ConnectionPool,
     val admission: AdmissionPolicy,
+    val shares: FairShares,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
 ) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -3,7 +3,8 @@
 import arrow.fx.coroutines.ResourceScope
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.AdmissionPolicy
-import buckthornbay.core.admission.ServiceAccounts
+import buckthornbay.core.admission.FairShares
+import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.load.Placement
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.MembershipSettings
@@ -50,7 +51,11 @@
     private val registry = UpstreamRegistry()
     private val regions = settings.zones.associate { it.name to it.region }
     private val upstreams = UpstreamTable(registry, { regions[it] }, clock)
-    private val accounts = ServiceAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND)
+    private val accounts = WorkspaceAccounts(
+        begun = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND),
+        asked = FleetAccounts(ASKED_FADE_MILLIS),
+    )
+    private val shares = FairShares(accounts.asked)
     private val connections = ConnectionPool(group, clock, PoolSettings())
     private val transport = NettyTransport(connections)
     private val knowledge = FleetKnowledge(deployment.format, registry, clock, log, ::knowledgeChanged)
@@ -71,6 +76,7 @@
         deployment.callerInterface,
         connections,
         AdmissionPolicy(random),
+        shares,
         log,
         metrics,
     )
@@ -83,7 +89,7 @@
         log.basis = { "config_version=${knowledge.configurationVersion} registry_revision=${knowledge.registryRevision}" }
         context.dispatcher = Dispatcher(
             upstreams,
-            accounts,
+            accounts.begun,
             Placement(settings.region),
             settings.bounds.run { RetrySettings(retryRatio, (retryWindowSeconds * MILLIS_PER_SECOND).toLong(), retrySlack) },
             clock,
@@ -152,6 +158,7 @@
 
     private fun knowledgeChanged() {
         upstreams.routes = knowledge.routes
+        shares.tokensPerSecond = knowledge.routes?.configuration?.tokensPerSecond
         upstreams.refresh()
         context.dispatcher.placeAll()
     }
@@ -184,6 +191,9 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
+
+        /** Time in which demand is forgotten, in milliseconds: several exchanges of news, and a quarter of the shares' window. */
+        const val ASKED_FADE_MILLIS = 1_200.0
         const val METRICS_PATH = "/metrics"
 
         /** How long callers may use an answer, in milliseconds: short enough that a host that stops is forgotten in its grace time. */
@@ -205,7 +215,7 @@
         const val SILENT_MILLIS = 1_500L
 
         /** Peers are heard from several times a second, so that a host that is gone is left out of addresses within two seconds. */
-        val MEMBERSHIP = MembershipSettings(periodMillis = 300, answerMillis = 600, suspectMillis = 1_500)
+        val MEMBERSHIP = MembershipSettings(periodMillis = 150, answerMillis = 600, suspectMillis = 1_500)
     }
 }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -1,11 +1,12 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
-import buckthornbay.core.admission.ServiceAccounts
+import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.membership.HeartbeatOut
 import buckthornbay.core.membership.HostReport
 import buckthornbay.core.membership.Membership
 import buckthornbay.protocol.Heartbeat
+import buckthornbay.protocol.HostId
 import buckthornbay.protocol.Member
 import buckthornbay.protocol.MemberStatus
 import buckthornbay.protocol.WireJson
@@ -29,15 +30,20 @@
  * What hosts tell each other in every period.
  *
  * @property registryRevision revision of the sender's registrations.
- * @property totals work that the sender began since its start, in tokens by workspace.
+ * @property begun work that the sender began since its start, in tokens by workspace.
+ * @property asked work that the sender was asked for since its start, in tokens by workspace.
  */
 @Serializable
 internal data class PeerNews(
     @SerialName("h") val heartbeat: Heartbeat,
     @SerialName("r") val registryRevision: Long,
-    @SerialName("t") val totals: Map<WorkspaceId, Long>,
+    @SerialName("b") val begun: Map<WorkspaceId, Long>,
+    @SerialName("a") val asked: Map<WorkspaceId, Long>,
 )
 
+/** Work by workspace on all hosts: what was begun, and what was asked for. */
+internal class WorkspaceAccounts(val begun: FleetAccounts, val asked: FleetAccounts)
+
 /** All that a host knows from the store, for a peer that the store does not answer. */
 @Serializable
 internal data class PeerSnapshot(
@@ -49,7 +55,7 @@
 /** Exchanges news with peers: who is alive, how far each is with configuration and registrations, and what was served. */
 internal class PeerExchange(
     private val membership: Membership,
-    private val accounts: ServiceAccounts,
+    private val accounts: WorkspaceAccounts,
     private val knowledge: FleetKnowledge,
     private val transport: HttpTransport,
     private val clock: Clock,
@@ -112,7 +118,8 @@
     private fun receive(news: PeerNews): String {
         val nowMillis = clock.nowMillis()
         val sender = news.heartbeat.sender
-        accounts.receive(nowMillis, sender.host, sender.incarnation, news.totals.mapValues { it.value.toDouble() })
+        accounts.begun.receive(nowMillis, sender.host, sender.incarnation, news.begun.toTokens())
+        accounts.asked.receive(nowMillis, sender.host, sender.incarnation, news.asked.toTokens())
         registryRevisions[sender.url] = news.registryRevision
         catchUp(sender.url, news)
         val reply = membership.receive(nowMillis, news.heartbeat, report()) ?: return ""
@@ -151,7 +158,7 @@
     private fun snapshot() = PeerSnapshot(knowledge.configuration, knowledge.registryRevision, knowledge.registrations())
 
     private fun news(heartbeat: Heartbeat) =
-        PeerNews(heartbeat, knowledge.registryRevision, accounts.totals().mapValues { it.value.roundToLong() })
+        PeerNews(heartbeat, knowledge.registryRevision, accounts.begun.totals().rounded(), accounts.asked.totals().rounded())
 
     private fun report() = HostReport(knowledge.configurationVersion, loadPermille = 0)
 
@@ -160,11 +167,20 @@
         if (members == membersSeen) return
         for (member in members - membersSeen) {
             log.belief("event=member host=${member.host} status=${member.status} incarnation=${member.incarnation}")
-            if (member.status == MemberStatus.DEAD) accounts.forget(member.host)
+            if (member.status == MemberStatus.DEAD) forgetAccounts(member.host)
         }
         membersSeen = members
     }
 
+    private fun forgetAccounts(host: HostId) {
+        accounts.begun.forget(host)
+        accounts.asked.forget(host)
+    }
+
+    private fun Map<WorkspaceId, Double>.rounded(): Map<WorkspaceId, Long> = mapValues { it.value.roundToLong() }
+
+    private fun Map<WorkspaceId, Long>.toTokens(): Map<WorkspaceId, Double> = mapValues { it.value.toDouble() }
+
     private companion object {
         const val NEWS = "/v1/peers/news"
         const val SNAPSHOT = "/v1/peers/snapshot"
@@ -173,7 +189,7 @@
         const val NOT_FOUND = 404
 
         /** How often the membership is asked what is due, in milliseconds; a third of the period between heartbeats. */
-        const val TICK_MILLIS = 100L
+        const val TICK_MILLIS = 50L
 
         /** Time for a peer's answer, in milliseconds; some round trips between regions. */
         const val CALL_TIMEOUT_MILLIS = 400L
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -24,6 +24,7 @@
 /**
  * What a caller asked for, and under which bounds.
  *
+ * @property withinShare whether the request is within what its workspace is due.
  * @property arrivedAtMillis when the request was read whole, in milliseconds.
  * @property callerWaitsUntilMillis until when the caller waits, in milliseconds.
  * @property deadlineAtMillis when the request must have its whole answer, in milliseconds.
@@ -34,6 +35,7 @@
     val workspace: WorkspaceId?,
     val service: ServiceId,
     val demand: TokenDemand?,
+    val withinShare: Boolean,
     val arrivedAtMillis: Long,
     val callerWaitsUntilMillis: Long,
     val deadlineAtMillis: Long,
@@ -66,6 +68,9 @@
     private var waitTimer: ScheduledFuture<*>? = null
     private var callerGone = false
     private var headSent = false
+    private var eventAtMillis = 0L
+    private var firstEventMillis = -1L
+    private var longestGapMillis = 0L
     private var ended = false
 
     val id: String get() = terms.id
@@ -73,6 +78,9 @@
     val workspaceId: WorkspaceId? get() = terms.workspace
     val demand: TokenDemand? get() = terms.demand
     override val mayMove: Boolean get() = route.repeatable
+
+    /** Whether the request is within what its workspace is due. */
+    val withinShare: Boolean = terms.withinShare
     val triedUpstreams = LinkedHashSet<UpstreamId>()
 
     /** This request's place in the queue, or null where it does not wait. */
@@ -88,6 +96,10 @@
     /** Returns when waiting on can't bring an answer that serves the caller, in milliseconds. */
     fun giveUpAtMillis(): Long = context.admission.giveUpAtMillis(route, terms.arrivedAtMillis, terms.deadlineAtMillis)
 
+    /** Whether the request has time to wait for the upstream that is best for all. */
+    fun isPatient(nowMillis: Long): Boolean =
+        nowMillis < context.admission.patientUntilMillis(route, terms.arrivedAtMillis)
+
     /** Sends the request to [upstream], which [choice] explains. */
     fun send(upstream: UpstreamState, choice: Choice) {
         waitTimer?.cancel(false)
@@ -129,6 +141,7 @@
         if (lifecycle.state == RequestState.STREAMING) return
         lifecycle.answering()
         headSent = true
+        firstEventMillis = context.clock.nowMillis() - terms.arrivedAtMillis
         context.metrics.began(terms, context.clock.nowMillis())
         caller.beginStream(status, answerHeadersToForward(headers))
     }
@@ -146,10 +159,21 @@
 
     override fun eventsRead(attempt: Attempt) {
         if (ended) return
+        noteGap(attempt)
         caller.flush()
         if (!caller.isWritable) attempt.setReading(false)
     }
 
+    private fun noteGap(attempt: Attempt) {
+        val nowMillis = context.clock.nowMillis()
+        val allowedMillis = route.longestPauseMillis
+        if (eventAtMillis > 0 && allowedMillis != null) {
+            attempt.upstream.candidate.load.paused(nowMillis, nowMillis - eventAtMillis, allowedMillis)
+        }
+        if (eventAtMillis > 0) longestGapMillis = maxOf(longestGapMillis, nowMillis - eventAtMillis)
+        eventAtMillis = nowMillis
+    }
+
     override fun streamEnded(attempt: Attempt, leftover: ByteBuf?) {
         this.attempt = null
         leftover?.let(caller::stream)
@@ -180,6 +204,7 @@
 
     override fun failed(attempt: Attempt, kind: FailureKind, reason: String) {
         this.attempt = null
+        eventAtMillis = 0
         context.log.attemptFailed(terms, attempt.upstream.entry.id, kind, reason)
         follow(lifecycle.failed(kind), reason)
     }
@@ -288,7 +313,11 @@
         waitTimer?.cancel(false)
         received.body.release()
         context.requestEnded(this)
-        context.log.ended(terms, lifecycle.state, reason, context.clock.nowMillis() - terms.arrivedAtMillis)
+        context.log.ended(
+            terms,
+            RequestTimes(lifecycle.state, context.clock.nowMillis() - terms.arrivedAtMillis, firstEventMillis, longestGapMillis),
+            reason,
+        )
         context.metrics.ended(terms, lifecycle.state, context.clock.nowMillis())
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
@@ -65,15 +65,10 @@
     private fun newState(entry: UpstreamEntry): UpstreamState {
         val engine = routes?.service(entry.service)?.engine
         val load = if (engine == null) PlainLoad(entry.slots) else EngineLoad()
-        val cache = engine?.let { PrefixCacheModel((it.cacheTokens * KEPT_PART).toLong()) }
+        val cache = engine?.let { PrefixCacheModel() }
         return UpstreamState(entry, Candidate(entry.id, regionOfZone(entry.zone), load, UpstreamTrust(), cache), clock)
     }
 
     private fun UpstreamEntry.sameIncarnation(other: UpstreamEntry): Boolean =
         address == other.address && bornAtMillis == other.bornAtMillis && service == other.service
-
-    private companion object {
-        /** Part of an engine's memory that is taken to hold shared prompt parts; requests in progress use the rest. */
-        const val KEPT_PART = 0.4
-    }
 }
