Let a workspace beyond its share leave room for one that waits on another host

Change: peers tell which workspaces wait; requests beyond their share yield to these; at most six of them wait a workspace, the others hear so at once.

--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -32,6 +32,12 @@
     public var size: Int = 0
         private set
 
+    /** The workspaces of which something waits. */
+    public val workspaces: Set<WorkspaceId> get() = byWorkspace.keys.filterNotNull().toSet()
+
+    /** Returns how many requests of [workspace] wait. */
+    public fun sizeOf(workspace: WorkspaceId?): Int = byWorkspace[workspace]?.size ?: 0
+
     /** Puts [waiting] behind its workspace's others. */
     public fun add(waiting: Waiting<T>) {
         byWorkspace.getOrPut(waiting.workspace) { ArrayDeque() }.addLast(waiting)
--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -22,8 +22,14 @@
  *
  * @property cost work that the upstream must do before its first answer: unread prompt tokens, or 1 for a plain service.
  * @property expectedMillis expected time to the first part of the answer, in milliseconds.
+ * @property atHome whether it is the first engine for the request's shared part.
  */
-public data class Choice(public val upstream: Candidate, public val cost: Double, public val expectedMillis: Double)
+public data class Choice(
+    public val upstream: Candidate,
+    public val cost: Double,
+    public val expectedMillis: Double,
+    public val atHome: Boolean,
+)
 
 /**
  * Chooses the upstream with the least expected time, counting work that other upstreams would be spared.
@@ -44,7 +50,7 @@
         val withRoom = offers.filter { it.upstream.load.hasRoom(nowMillis, it.cost) }
         val best = withRoom.minByOrNull { it.price } ?: return null
         val worthWaiting = patient && offers.any { it.price + settings.patiencePrice < best.price }
-        return if (worthWaiting) null else Choice(best.upstream, best.cost, best.expectedMillis)
+        return if (worthWaiting) null else Choice(best.upstream, best.cost, best.expectedMillis, best.upstream === home)
     }
 
     private class Offer(val upstream: Candidate, val cost: Double, val expectedMillis: Double, val price: Double)
--- a/core/src/main/kotlin/buckthornbay/core/membership/Membership.kt
+++ b/core/src/main/kotlin/buckthornbay/core/membership/Membership.kt
@@ -18,7 +18,7 @@
  */
 public class Membership(
     private var self: Member,
-    private val seedUrls: List<String>,
+    private var seedUrls: List<String>,
     private val random: UniformRandomProvider,
     private val settings: MembershipSettings = MembershipSettings(),
 ) {
@@ -54,6 +54,11 @@
         versions.mapNotNull { (host, version) -> members[host]?.member?.takeIf { it.status != MemberStatus.DEAD }?.to(version) }
             .maxByOrNull { it.second }
 
+    /** Replaces the seeds, which may have changed since the start. */
+    public fun updateSeeds(urls: List<String>) {
+        seedUrls = urls
+    }
+
     /** Tells the peers that this host takes no new work. */
     public fun leave() {
         self = self.copy(status = MemberStatus.LEAVING, incarnation = self.incarnation + 1)
--- a/router/src/main/kotlin/buckthornbay/router/Main.kt
+++ b/router/src/main/kotlin/buckthornbay/router/Main.kt
@@ -6,6 +6,7 @@
 import buckthornbay.platform.PlatformStore
 import buckthornbay.protocol.TomlProblem
 import buckthornbay.router.gateway.Deployment
+import buckthornbay.router.gateway.SettingsFile
 import buckthornbay.router.gateway.gatewayProcess
 import buckthornbay.router.gateway.readGatewaySettings
 import com.github.ajalt.clikt.core.CliktCommand
@@ -19,6 +20,7 @@
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.michaelbull.result.getOrElse
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import sun.misc.Signal
 
@@ -48,7 +50,9 @@
             val terminated = awaitSignal()
             resourceScope {
                 val process = gatewayProcess(settings, PLATFORM)
+                val reloading = launch { SettingsFile(config).follow { process.reload(it) } }
                 terminated.await()
+                reloading.cancel()
                 process.drain()
             }
         }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
@@ -3,16 +3,19 @@
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.FairQueue
 import buckthornbay.core.admission.FleetAccounts
+import buckthornbay.core.admission.FleetBacklog
 import buckthornbay.core.admission.Waiting
 import buckthornbay.core.load.Placement
 import buckthornbay.core.request.FleetRetryBudget
 import buckthornbay.core.request.RetryAllowance
 import buckthornbay.protocol.ServiceId
+import buckthornbay.protocol.WorkspaceId
 
 /** Brings waiting requests and upstreams together; carries out what placement, fair queue and budgets decide. */
 internal class Dispatcher(
     private val upstreams: UpstreamTable,
     private val accounts: FleetAccounts,
+    private val backlog: FleetBacklog,
     private val placement: Placement,
     private val settings: RetrySettings,
     private val clock: Clock,
@@ -24,12 +27,19 @@
     /** Requests that wait. */
     val waitingCount: Int get() = queues.values.sumOf { it.size }
 
+    /** The workspaces of which something waits here. */
+    val waitingWorkspaces: Set<WorkspaceId> get() = queues.values.flatMap { it.workspaces }.toSet()
+
     /** Takes in a request that is to be sent, for the first time or again. */
     fun submit(request: ProxiedRequest) {
         if (upstreams.usable(request.service).isEmpty()) return request.refuse("no upstream of the service may be used")
+        val queue = queueOf(request.service)
+        if (!request.withinShare && queue.sizeOf(request.workspaceId) >= MAX_WAITING_BEYOND_SHARE) {
+            return request.refuse("the workspace asks for more than its share and others of its requests wait")
+        }
         val waiting = Waiting(request.id, request.workspaceId, request.withinShare, clock.nowMillis(), request.giveUpAtMillis(), request)
         request.waiting = waiting
-        queueOf(request.service).add(waiting)
+        queue.add(waiting)
         place(request.service)
     }
 
@@ -67,13 +77,15 @@
 
     private fun placeOne(request: ProxiedRequest): Boolean {
         val nowMillis = clock.nowMillis()
+        val workspace = request.workspaceId
+        if (!request.withinShare && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
         val usable = upstreams.usable(request.service)
         val fresh = usable.filterNot { it.entry.id in request.triedUpstreams }.ifEmpty { usable }
         val choice = placement.choose(nowMillis, fresh.map { it.candidate }, request.demand, request.isPatient(nowMillis)) ?: return false
         val upstream = fresh.first { it.candidate === choice.upstream }
         request.waiting = null
         request.demand?.let { demand ->
-            request.workspaceId?.let { accounts.charge(nowMillis, it, demand.workTokens) }
+            workspace?.let { accounts.charge(nowMillis, it, demand.workTokens) }
             upstream.candidate.cache?.noteRead(nowMillis, demand)
         }
         request.send(upstream, choice)
@@ -81,6 +93,14 @@
     }
 
     private fun queueOf(service: ServiceId) = queues.getOrPut(service) { FairQueue(accounts) }
+
+    private companion object {
+        /**
+         * Requests beyond its share of one workspace that may wait here at a time; what a workspace gets in the time that a
+         * request may wait is few of them.
+         */
+        const val MAX_WAITING_BEYOND_SHARE = 6
+    }
 }
 
 /**
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -5,6 +5,7 @@
 import buckthornbay.core.admission.AdmissionPolicy
 import buckthornbay.core.admission.FairShares
 import buckthornbay.core.admission.FleetAccounts
+import buckthornbay.core.admission.FleetBacklog
 import buckthornbay.core.load.Placement
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.MembershipSettings
@@ -51,10 +52,8 @@
     private val registry = UpstreamRegistry()
     private val regions = settings.zones.associate { it.name to it.region }
     private val upstreams = UpstreamTable(registry, { regions[it] }, clock)
-    private val accounts = WorkspaceAccounts(
-        begun = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND),
-        asked = FleetAccounts(ASKED_FADE_MILLIS),
-    )
+    private val begun = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND)
+    private val accounts = WorkspaceAccounts(begun, FleetAccounts(ASKED_FADE_MILLIS), FleetBacklog(begun))
     private val shares = FairShares(accounts.asked)
     private val connections = ConnectionPool(group, clock, PoolSettings())
     private val transport = NettyTransport(connections)
@@ -65,7 +64,7 @@
         random,
         MEMBERSHIP,
     )
-    private val peers = PeerExchange(membership, accounts, knowledge, transport, clock, log, scope)
+    private val peers = PeerExchange(membership, accounts, knowledge, transport, clock, log, scope) { context.dispatcher.waitingWorkspaces }
     private val store = deployment.store(transport, settings.store.address)
     private val watcher = StoreWatcher(store, deployment.format, knowledge, registry, clock, log, random)
     private val metrics = GatewayMetrics()
@@ -89,7 +88,8 @@
         log.basis = { "config_version=${knowledge.configurationVersion} registry_revision=${knowledge.registryRevision}" }
         context.dispatcher = Dispatcher(
             upstreams,
-            accounts.begun,
+            begun,
+            accounts.backlog,
             Placement(settings.region),
             settings.bounds.run { RetrySettings(retryRatio, (retryWindowSeconds * MILLIS_PER_SECOND).toLong(), retrySlack) },
             clock,
@@ -110,6 +110,14 @@
         stopped.await()
     }
 
+    /** Takes over what may change in the settings while the process runs: the peers to ask first. */
+    public fun reload(changed: GatewaySettings) {
+        eventLoop.execute {
+            membership.updateSeeds(changed.seeds - settings.listen.control)
+            log.belief("event=settings_reloaded seeds=${changed.seeds.joinToString(",")}")
+        }
+    }
+
     internal fun stop() {
         scope.cancel()
         group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -2,6 +2,7 @@
 
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.FleetAccounts
+import buckthornbay.core.admission.FleetBacklog
 import buckthornbay.core.membership.HeartbeatOut
 import buckthornbay.core.membership.HostReport
 import buckthornbay.core.membership.Membership
@@ -32,6 +33,7 @@
  * @property registryRevision revision of the sender's registrations.
  * @property begun work that the sender began since its start, in tokens by workspace.
  * @property asked work that the sender was asked for since its start, in tokens by workspace.
+ * @property waiting workspaces of which something waits at the sender.
  */
 @Serializable
 internal data class PeerNews(
@@ -39,10 +41,11 @@
     @SerialName("r") val registryRevision: Long,
     @SerialName("b") val begun: Map<WorkspaceId, Long>,
     @SerialName("a") val asked: Map<WorkspaceId, Long>,
+    @SerialName("w") val waiting: Set<WorkspaceId>,
 )
 
-/** Work by workspace on all hosts: what was begun, and what was asked for. */
-internal class WorkspaceAccounts(val begun: FleetAccounts, val asked: FleetAccounts)
+/** Work by workspace on all hosts: what was begun, what was asked for, and who waits. */
+internal class WorkspaceAccounts(val begun: FleetAccounts, val asked: FleetAccounts, val backlog: FleetBacklog)
 
 /** All that a host knows from the store, for a peer that the store does not answer. */
 @Serializable
@@ -61,6 +64,7 @@
     private val clock: Clock,
     private val log: DecisionLog,
     private val scope: CoroutineScope,
+    private val waiting: () -> Set<WorkspaceId>,
 ) {
     private val registryRevisions = HashMap<String, Long>()
     private var fetching = false
@@ -120,6 +124,7 @@
         val sender = news.heartbeat.sender
         accounts.begun.receive(nowMillis, sender.host, sender.incarnation, news.begun.toTokens())
         accounts.asked.receive(nowMillis, sender.host, sender.incarnation, news.asked.toTokens())
+        accounts.backlog.receive(nowMillis, sender.host, news.waiting)
         registryRevisions[sender.url] = news.registryRevision
         catchUp(sender.url, news)
         val reply = membership.receive(nowMillis, news.heartbeat, report()) ?: return ""
@@ -157,8 +162,13 @@
 
     private fun snapshot() = PeerSnapshot(knowledge.configuration, knowledge.registryRevision, knowledge.registrations())
 
-    private fun news(heartbeat: Heartbeat) =
-        PeerNews(heartbeat, knowledge.registryRevision, accounts.begun.totals().rounded(), accounts.asked.totals().rounded())
+    private fun news(heartbeat: Heartbeat) = PeerNews(
+        heartbeat,
+        knowledge.registryRevision,
+        accounts.begun.totals().rounded(),
+        accounts.asked.totals().rounded(),
+        waiting(),
+    )
 
     private fun report() = HostReport(knowledge.configurationVersion, loadPermille = 0)
 
