--- a/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
@@ -6,8 +6,8 @@
 /**
  * How long a request may wait at this host, and when a caller that is turned away should come back.
  *
- * It answers load beyond capacity that lasts longer than an objective: a request that would only be answered late gives its place to
- * one that can still be answered in time, and hears so at once.
+ * It answers load beyond capacity that lasts longer than an objective: a request that would only be answered late gives its
+ * place to one that can still be answered in time, and hears so at once.
  */
 public class AdmissionPolicy(
     private val random: UniformRandomProvider,
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -19,11 +19,11 @@
 )
 
 /**
- * The requests for one service that wait at this host: those within their workspace's share first, and among these the workspace
- * that was given least lately.
+ * The requests for one service that wait at this host: those within their workspace's share first, and among these the
+ * workspace that was given least lately.
  *
- * It answers load beyond what the upstreams can take, from few workspaces or many: engines run requests as they arrive, so what
- * must be ordered waits here. Requests of one workspace keep their order of arrival.
+ * It answers load beyond what the upstreams can take, from few workspaces or many: engines run requests as they arrive, so
+ * what must be ordered waits here. Requests of one workspace keep their order of arrival.
  */
 public class FairQueue<T>(private val accounts: FleetAccounts) {
     private val byWorkspace = LinkedHashMap<WorkspaceId?, ArrayDeque<Waiting<T>>>()
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -5,9 +5,9 @@
 /**
  * Tells requests within their workspace's share from those beyond it.
  *
- * It answers workspaces that ask for many times their usual: the throughput of all engines is divided by max-min fairness over what
- * the workspaces ask for on all hosts, and each host gives a workspace its part of that. Requests within the share go first;
- * those beyond it use what is left.
+ * It answers workspaces that ask for many times their usual: the throughput of all engines is divided by max-min fairness
+ * over what the workspaces ask for on all hosts, and each host gives a workspace its part of that. Requests within the share
+ * go first; those beyond it use what is left.
  *
  * @param asked what workspaces ask for, on all hosts.
  */
--- a/core/src/main/kotlin/buckthornbay/core/admission/FleetBacklog.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FleetBacklog.kt
@@ -6,8 +6,8 @@
 /**
  * Which workspaces wait for service on other hosts.
  *
- * It answers workspaces whose callers sit on few hosts: what one workspace asks beyond its share does not begin on a host with
- * room while another workspace that was given less waits elsewhere, so that the engines have room for the other host.
+ * It answers workspaces whose callers sit on few hosts: what one workspace asks beyond its share does not begin on a host
+ * with room while another workspace that was given less waits elsewhere, so that the engines have room for the other host.
  */
 public class FleetBacklog(private val begun: FleetAccounts, private val settings: FleetBacklogSettings = FleetBacklogSettings()) {
     private class Report(val workspaces: Collection<WorkspaceId>, val asOfMillis: Long)
--- a/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
@@ -3,12 +3,12 @@
 /**
  * The load of one model engine, in prompt tokens that were sent and not yet read.
  *
- * It answers load in which reading prompts is the scarce resource: the wait before a first token is the unread tokens ahead over
- * the engine's rate. The host knows its own unread tokens; those of other hosts show in how much longer its requests waited
- * than its own tokens explain. That estimate is stale when it is made, so it fades.
+ * It answers load in which reading prompts is the scarce resource: the wait before a first token is the unread tokens ahead
+ * over the engine's rate. The host knows its own unread tokens; those of other hosts show in how much longer its requests
+ * waited than its own tokens explain. That estimate is stale when it is made, so it fades.
  *
- * Reading prompts also holds up the tokens of every request that runs, so the host sends at a rate that rises step by step while its
- * requests begin in time and its streams flow, and falls by a part when they don't.
+ * Reading prompts also holds up the tokens of every request that runs, so the host sends at a rate that rises step by step
+ * while its requests begin in time and its streams flow, and falls by a part when they don't.
  */
 public class EngineLoad(private val settings: EngineLoadSettings = EngineLoadSettings()) : UpstreamLoad {
     private class Unread(val cost: Double, val sentAtMillis: Long, val aheadTokens: Double)
@@ -87,7 +87,11 @@
         if (cost < settings.rateSampleTokens) return
         val sample = (elapsedMillis - settings.startMillis).coerceAtLeast(0.0) / cost
         val step = if (sample < millisPerToken) settings.rateFallStep else settings.rateRiseStep
-        millisPerToken = (millisPerToken + step * (sample - millisPerToken)).coerceIn(settings.millisPerTokenRange)
+        millisPerToken =
+            (millisPerToken + step * (sample - millisPerToken)).coerceIn(
+                settings.leastMillisPerToken,
+                settings.mostMillisPerToken,
+            )
     }
 
     private fun creditAt(nowMillis: Long): Double =
@@ -109,7 +113,7 @@
     private fun setRate(nowMillis: Long, rate: Double) {
         credit = creditAt(nowMillis)
         creditAtMillis = nowMillis
-        tokensPerMilli = rate.coerceIn(settings.rateRange)
+        tokensPerMilli = rate.coerceIn(settings.leastTokensPerMilli, settings.mostTokensPerMilli)
     }
 
     private fun currentSlowdown(nowMillis: Long): Double =
@@ -119,31 +123,39 @@
 /**
  * Constants of [EngineLoad].
  *
- * @property initialMillisPerToken reading time of a prompt token before any was seen, in milliseconds; a large model on several
- * accelerators reads some 80 tokens in a millisecond.
- * @property millisPerTokenRange bounds of the learned reading time, in milliseconds.
- * @property rateSampleTokens least cost of a request from which the reading time is learned; shorter ones are mostly overhead.
- * @property rateFallStep part of the way to a lower sample; with [rateRiseStep] it settles near the fifth part of all samples.
+ * @property initialMillisPerToken reading time of a prompt token before any was seen, in milliseconds; a large model on
+ * several accelerators reads some 80 tokens in a millisecond.
+ * @property leastMillisPerToken lower bound of the learned reading time, in milliseconds.
+ * @property mostMillisPerToken upper bound of the learned reading time, in milliseconds.
+ * @property rateSampleTokens least cost of a request from which the reading time is learned; shorter ones are mostly
+ * overhead.
+ * @property rateFallStep part of the way to a lower sample; with [rateRiseStep] it settles near the fifth part of all
+ * samples.
  * @property startMillis time from the end of reading to the first token and its way back, in milliseconds.
  * @property smoothing part of the way that one sample of other hosts' work moves the estimate.
- * @property fadeMillis time after which that estimate counts for nothing, in milliseconds; queues of engines turn over in less.
+ * @property fadeMillis time after which that estimate counts for nothing, in milliseconds; queues of engines turn over in
+ * less.
  * @property targetWaitMillis longest wait in the engine that is no sign of overload, in milliseconds; a quarter of the usual
  * objective of 800 ms, so that the rest of it can be spent in the host's fair queue.
- * @property targetGap part of the longest pause between events that is no sign of overload; neighbours on the engine's machine slow
- * it down without notice, and the rest is for that.
- * @property initialTokensPerMilli rate before anything was seen, in tokens a millisecond; an even part of an engine for nine hosts.
- * @property rateRange bounds of the rate; the upper one is a whole engine's.
+ * @property targetGap part of the longest pause between events that is no sign of overload; neighbours on the engine's
+ * machine slow it down without notice, and the rest is for that.
+ * @property initialTokensPerMilli rate before anything was seen, in tokens a millisecond; an even part of an engine for nine
+ * hosts.
+ * @property leastTokensPerMilli lower bound of the rate, so that every engine is tried again.
+ * @property mostTokensPerMilli upper bound of the rate: a whole engine's.
  * @property raiseTokensPerMilli step by which the rate rises.
  * @property raisePauseMillis least time between two such steps, in milliseconds.
  * @property slowFactor part of the rate that is left after a sign of overload.
  * @property slowPauseMillis least time between two such steps, in milliseconds: one turnover of the engine's queue.
  * @property burstTokens tokens that may be sent at once after a pause.
  * @property maxUnreadTokens tokens of this host that may be unread at one engine; what is there is lost when the engine is.
- * @property slowdownFreshMillis how long a reported slowdown counts, in milliseconds; neighbours change several times a second.
+ * @property slowdownFreshMillis how long a reported slowdown counts, in milliseconds; neighbours change several times a
+ * second.
  */
 public data class EngineLoadSettings(
     public val initialMillisPerToken: Double = 0.0125,
-    public val millisPerTokenRange: ClosedFloatingPointRange<Double> = 0.002..0.2,
+    public val leastMillisPerToken: Double = 0.002,
+    public val mostMillisPerToken: Double = 0.2,
     public val rateSampleTokens: Double = 2_000.0,
     public val rateFallStep: Double = 0.1,
     public val rateRiseStep: Double = 0.025,
@@ -153,7 +165,8 @@
     public val targetWaitMillis: Double = 200.0,
     public val targetGap: Double = 1.0,
     public val initialTokensPerMilli: Double = 10.0,
-    public val rateRange: ClosedFloatingPointRange<Double> = 1.0..100.0,
+    public val leastTokensPerMilli: Double = 1.0,
+    public val mostTokensPerMilli: Double = 100.0,
     public val raiseTokensPerMilli: Double = 0.4,
     public val raisePauseMillis: Long = 100,
     public val slowFactor: Double = 0.85,
--- a/core/src/main/kotlin/buckthornbay/core/load/PlainLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/PlainLoad.kt
@@ -3,8 +3,8 @@
 /**
  * The load of one upstream of a plain service, in requests.
  *
- * It answers load in which a few slots are shared by all hosts: answers tell how many requests run and wait, and the host keeps
- * its own part of them small enough that the upstream's queue stays under one round of its slots.
+ * It answers load in which a few slots are shared by all hosts: answers tell how many requests run and wait, and the host
+ * keeps its own part of them small enough that the upstream's queue stays under one round of its slots.
  *
  * @param slots requests that the upstream runs at once, as its registration says.
  */
--- a/core/src/main/kotlin/buckthornbay/core/load/PrefixCacheModel.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/PrefixCacheModel.kt
@@ -3,8 +3,9 @@
 /**
  * What this host believes one engine keeps of shared prompt parts.
  *
- * It answers load in which many requests share long parts: engines that read a part once need not read it again while they keep
- * it. The belief comes from the host's own requests alone, and fades: an engine's memory turns over within seconds at peak load.
+ * It answers load in which many requests share long parts: engines that read a part once need not read it again while they
+ * keep it. The belief comes from the host's own requests alone, and fades: an engine's memory turns over within seconds at
+ * peak load.
  *
  * @param keptMillis how long after its last use a part is taken to be kept, in milliseconds.
  */
--- a/core/src/main/kotlin/buckthornbay/core/load/UpstreamLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/UpstreamLoad.kt
@@ -33,9 +33,9 @@
 /**
  * What this host knows of the load of one upstream, and how much it may send there.
  *
- * Every host learns by itself from the answers that it gets, so that no message is needed when load changes. The window of work
- * that is sent and has not begun grows while the upstream begins at once and shrinks when it makes requests wait; hosts that
- * share an upstream come to equal parts of it without knowing each other.
+ * Every host learns by itself from the answers that it gets, so that no message is needed when load changes. The window of
+ * work that is sent and has not begun grows while the upstream begins at once and shrinks when it makes requests wait; hosts
+ * that share an upstream come to equal parts of it without knowing each other.
  */
 public interface UpstreamLoad {
     /** Requests of this host that the upstream has not ended. */
--- a/core/src/main/kotlin/buckthornbay/core/load/UpstreamTrust.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/UpstreamTrust.kt
@@ -3,8 +3,8 @@
 /**
  * How far an upstream is trusted after failures that this host saw.
  *
- * It answers upstreams that fail part of their requests while they say that they are healthy, and upstreams that are gone before
- * the registry says so.
+ * It answers upstreams that fail part of their requests while they say that they are healthy, and upstreams that are gone
+ * before the registry says so.
  */
 public class UpstreamTrust(private val settings: UpstreamTrustSettings = UpstreamTrustSettings()) {
     private var failureRate = 0.0
--- a/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
@@ -10,7 +10,8 @@
  * @property address IP number and port, joined by a colon.
  * @property slots requests that it runs at once.
  * @property draining whether it is about to leave and must get no new work.
- * @property bornAtMillis Unix time at which it started, in milliseconds; another value is another incarnation under the same id.
+ * @property bornAtMillis Unix time at which it started, in milliseconds; another value is another incarnation under the same
+ * id.
  * @property sequence rises with each thing that this incarnation says; null where it is not told.
  */
 public data class UpstreamEntry(
@@ -33,8 +34,8 @@
 /**
  * The upstreams that registered themselves, and which of them may get new work.
  *
- * Registrations lapse while the store is out although the upstream lives, so one that vanishes around an outage stays usable until
- * [GRACE_AFTER_RETURN_MILLIS] after the store's return.
+ * Registrations lapse while the store is out although the upstream lives, so one that vanishes around an outage stays usable
+ * until [GRACE_AFTER_RETURN_MILLIS] after the store's return.
  */
 public class UpstreamRegistry {
     private class Known(var entry: UpstreamEntry, var missingSinceMillis: Long? = null)
@@ -129,7 +130,10 @@
     }
 
     public companion object {
-        /** How long after the store's return a lapsed registration may take to come back, in milliseconds, as the platform says. */
+        /**
+         * How long after the store's return a lapsed registration may take to come back, in milliseconds, as the platform
+         * says.
+         */
         public const val GRACE_AFTER_RETURN_MILLIS: Long = 2_000
 
         /** Upstreams that left and are remembered, so that a delayed write does not bring them back. */
--- a/core/src/main/kotlin/buckthornbay/core/request/RequestLifecycle.kt
+++ b/core/src/main/kotlin/buckthornbay/core/request/RequestLifecycle.kt
@@ -54,9 +54,8 @@
 /**
  * The life of one request: it keeps the state and decides what follows a failure.
  *
- * Each request reaches exactly one [RequestEnd]. [RequestEnd.NOT_RUN] is reached only while nothing was written to an upstream,
- * and
- * an unrepeatable request is never sent again once something may have been written.
+ * Each request reaches exactly one [RequestEnd]. [RequestEnd.NOT_RUN] is reached only while nothing was written to an
+ * upstream, and an unrepeatable request is never sent again once something may have been written.
  *
  * @param unrepeatable whether the request may run at most once.
  * @param resumable whether the upstream can continue a broken answer.
@@ -121,13 +120,17 @@
             kind == FailureKind.CALLER_LEFT -> endWith(if (unrepeatable) RequestEvent.LOSE_TRACK else RequestEvent.FAIL_WRITTEN)
             !written -> afterUnwritten(drawsOnBudget = kind == FailureKind.REFUSED_UNREAD && limits.refusalsDrawOnBudget)
             unrepeatable -> endWith(RequestEvent.LOSE_TRACK)
-            runs < limits.maxRuns && sends < limits.maxSends && budget.tryRetry() -> retry()
-            else -> endWith(RequestEvent.FAIL_WRITTEN)
+            else -> afterWritten()
         }
     }
 
     private fun endUnsent(): AfterFailure = endWith(if (mayHaveRun) RequestEvent.FAIL_WRITTEN else RequestEvent.REFUSE)
 
+    private fun afterWritten(): AfterFailure {
+        val mayRepeat = runs < limits.maxRuns && sends < limits.maxSends && budget.tryRetry()
+        return if (mayRepeat) retry() else endWith(RequestEvent.FAIL_WRITTEN)
+    }
+
     private fun afterUnwritten(drawsOnBudget: Boolean): AfterFailure = when {
         sends < limits.maxSends && (!drawsOnBudget || budget.tryRetry()) -> retry()
         mayHaveRun -> endWith(RequestEvent.FAIL_WRITTEN)
--- a/core/src/main/kotlin/buckthornbay/core/routing/RouteTable.kt
+++ b/core/src/main/kotlin/buckthornbay/core/routing/RouteTable.kt
@@ -34,7 +34,8 @@
 
     /** Finds the route with the longest prefix of [path] under [hostName], and the workspace that holds [key]. */
     public fun match(hostName: String, path: String, key: String?): RouteMatch {
-        val route = routesByHost[hostName.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) } ?: return RouteMatch.NoRoute
+        val route =
+            routesByHost[hostName.lowercase()]?.firstOrNull { path.startsWith(it.pathPrefix) } ?: return RouteMatch.NoRoute
         val workspace = key?.let { workspaceByKey[it] }
         val needsKey = configuration.workspaces.isNotEmpty() && !route.public
         if (workspace == null && needsKey) return RouteMatch.UnknownKey
--- a/operator/src/main/kotlin/buckthornbay/operator/DemoCommand.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/DemoCommand.kt
@@ -2,12 +2,12 @@
 
 import arrow.fx.coroutines.ResourceScope
 import arrow.fx.coroutines.resourceScope
-import buckthornbay.store.DesiredStateStore
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.ZoneId
 import buckthornbay.router.RouterSettings
 import buckthornbay.router.routerProcess
+import buckthornbay.store.DesiredStateStore
 import buckthornbay.testkit.EngineFaults
 import buckthornbay.testkit.StandIns
 import buckthornbay.testkit.standIns
--- a/operator/src/main/kotlin/buckthornbay/operator/OperatorContext.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/OperatorContext.kt
@@ -1,13 +1,13 @@
 package buckthornbay.operator
 
 import buckthornbay.core.config.readDesiredState
-import buckthornbay.store.DesiredStateStore
-import buckthornbay.store.HttpObjectStore
-import buckthornbay.store.StoreError
 import buckthornbay.protocol.DesiredState
 import buckthornbay.protocol.HostStatus
 import buckthornbay.protocol.TomlProblem
 import buckthornbay.protocol.readToml
+import buckthornbay.store.DesiredStateStore
+import buckthornbay.store.HttpObjectStore
+import buckthornbay.store.StoreError
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.parameters.groups.OptionGroup
--- a/operator/src/main/kotlin/buckthornbay/operator/StateCommands.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/StateCommands.kt
@@ -1,8 +1,8 @@
 package buckthornbay.operator
 
-import buckthornbay.store.StoreError
 import buckthornbay.protocol.DesiredState
 import buckthornbay.protocol.writeToml
+import buckthornbay.store.StoreError
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.parameters.arguments.argument
--- a/router/src/main/kotlin/buckthornbay/router/Main.kt
+++ b/router/src/main/kotlin/buckthornbay/router/Main.kt
@@ -31,7 +31,10 @@
     private val config by option("--config", help = "The router's settings, a TOML file.")
         .file(mustExist = true, canBeDir = false, mustBeReadable = true)
         .required()
-    private val platform by option("--platform", help = "Serve the platform's callers and upstreams; the settings are a gateway's.").flag()
+    private val platform by option(
+        "--platform",
+        help = "Serve the platform's callers and upstreams; the settings are a gateway's.",
+    ).flag()
     private val check by option("--check", help = "Check the settings and exit.").flag()
 
     init {
--- a/router/src/main/kotlin/buckthornbay/router/RequestDriver.kt
+++ b/router/src/main/kotlin/buckthornbay/router/RequestDriver.kt
@@ -9,11 +9,11 @@
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestLifecycle
 import buckthornbay.core.request.RetryBudget
-import buckthornbay.store.ClaimOutcome
-import buckthornbay.store.KeyClaims
 import buckthornbay.protocol.RequestEnd
 import buckthornbay.protocol.RequestId
 import buckthornbay.protocol.UpstreamId
+import buckthornbay.store.ClaimOutcome
+import buckthornbay.store.KeyClaims
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
--- a/router/src/main/kotlin/buckthornbay/router/RouterProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/RouterProcess.kt
@@ -6,11 +6,11 @@
 import buckthornbay.core.node.NodeEffect
 import buckthornbay.core.node.RouterNode
 import buckthornbay.core.node.buildNodeSettings
+import buckthornbay.protocol.Member
 import buckthornbay.store.DesiredStateStore
 import buckthornbay.store.HttpObjectStore
 import buckthornbay.store.KeyClaims
 import buckthornbay.store.SystemClock
-import buckthornbay.protocol.Member
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
--- a/router/src/main/kotlin/buckthornbay/router/StateWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/StateWatcher.kt
@@ -1,8 +1,8 @@
 package buckthornbay.router
 
+import buckthornbay.protocol.UpstreamId
 import buckthornbay.store.DesiredStateStore
 import buckthornbay.store.HostList
-import buckthornbay.protocol.UpstreamId
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import io.github.oshai.kotlinlogging.KotlinLogging
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -112,13 +112,16 @@
             return false
         }
         this.response = response
-        val isEvents = response.headers()[HttpHeaderNames.CONTENT_TYPE]?.startsWith(EVENT_STREAM) ?: true
-        if (expectsEvents && response.status() == HttpResponseStatus.OK && isEvents && isGenuine(response)) {
-            framing = EventStreamFraming(context.allocator)
-        }
+        if (expectsEvents && isEventStream(response)) framing = EventStreamFraming(context.allocator)
         return true
     }
 
+    private fun isEventStream(response: HttpResponse): Boolean {
+        val type = response.headers()[HttpHeaderNames.CONTENT_TYPE]
+        val isEvents = type == null || type.startsWith(EVENT_STREAM)
+        return isEvents && response.status() == HttpResponseStatus.OK && isGenuine(response)
+    }
+
     override fun content(bytes: ByteBuf) {
         upstream.heard()
         val framing = framing
@@ -178,7 +181,11 @@
         when {
             notRun -> fail(FailureKind.REFUSED_UNREAD, SendOutcome.REFUSED, "the upstream answered ${status.code()} unread")
             !isGenuine(head) && status.code() < FIRST_ERROR ->
-                fail(FailureKind.BROKEN_BEFORE_ANSWER, SendOutcome.FAILED, "the answer ${status.code()} is not the upstream's own")
+                fail(
+                    FailureKind.BROKEN_BEFORE_ANSWER,
+                    SendOutcome.FAILED,
+                    "the answer ${status.code()} is not the upstream's own",
+                )
             else -> {
                 val answer = WholeAnswer(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER)
                 body = null
@@ -188,11 +195,14 @@
         }
     }
 
-    /** A success must carry the upstream's signature and this attempt's id, and the bytes must be as the upstream sent them. */
+    /**
+     * A success must carry the upstream's signature and this attempt's id, and the bytes must be as the upstream sent them.
+     */
     private fun isGenuine(head: HttpResponse): Boolean {
         val names = context.callerInterface.headers
         val headers = head.headers()
-        return headers.contains(names.answerSignature) && headers.contains(names.attemptId) &&
+        return headers.contains(names.answerSignature) &&
+            headers.contains(names.attemptId) &&
             !headers.contains(HttpHeaderNames.CONTENT_ENCODING)
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -22,12 +22,7 @@
 import io.netty.util.ReferenceCountUtil
 
 /** A request that was read whole; [body] belongs to whoever takes the request and must be released. */
-internal class ReceivedRequest(
-    val method: String,
-    val target: String,
-    val headers: HttpHeaders,
-    val body: ByteBuf,
-) {
+internal class ReceivedRequest(val method: String, val target: String, val headers: HttpHeaders, val body: ByteBuf) {
     /** The target without its query. */
     val path: String get() = target.substringBefore('?')
 }
@@ -68,8 +63,8 @@
 /**
  * A caller's connection: it reads one request after another, and writes the answers in the same order.
  *
- * What is no proper request is answered with an error and the connection is closed, so that nothing after it can be taken for a
- * request.
+ * What is no proper request is answered with an error and the connection is closed, so that nothing after it can be taken for
+ * a request.
  */
 internal class CallerConnection(private val handler: RequestHandler, private val clock: Clock) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
@@ -141,8 +136,16 @@
         val limits = handler.limits
         val begun = headBegunAtMillis
         when {
-            head != null -> if (nowMillis - activeAtMillis > limits.idleTimeoutMillis) reject(REQUEST_TIMEOUT, "the body did not arrive in time")
-            begun != null -> if (nowMillis - begun > limits.headerTimeoutMillis) reject(REQUEST_TIMEOUT, "the head did not arrive in time")
+            head != null -> if (nowMillis - activeAtMillis >
+                limits.idleTimeoutMillis
+            ) {
+                reject(REQUEST_TIMEOUT, "the body did not arrive in time")
+            }
+            begun != null -> if (nowMillis - begun >
+                limits.headerTimeoutMillis
+            ) {
+                reject(REQUEST_TIMEOUT, "the head did not arrive in time")
+            }
             nowMillis - activeAtMillis > limits.idleTimeoutMillis -> close()
         }
     }
@@ -248,7 +251,9 @@
         val problem = problemOf(request)
         if (problem != null) return reject(problem.status, problem.message)
         if (HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
+            context.writeAndFlush(
+                DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+            )
         }
     }
 
@@ -256,7 +261,10 @@
         val bytes = content.content()
         val buffer = body ?: context.alloc().buffer(maxOf(bytes.readableBytes(), FIRST_BODY_BYTES)).also { body = it }
         if (buffer.readableBytes() + bytes.readableBytes() > handler.limits.maxBodyBytes) {
-            return reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "the body may have ${handler.limits.maxBodyBytes} bytes at most")
+            return reject(
+                HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                "the body may have ${handler.limits.maxBodyBytes} bytes at most",
+            )
         }
         buffer.writeBytes(bytes)
         if (content is LastHttpContent) deliver()
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -41,7 +41,14 @@
         val table = routes()
         return when {
             id.isNullOrBlank() -> turnAway(request, caller, id, BAD_REQUEST, "send the header ${names.attemptId}")
-            table == null -> turnAway(request, caller, id, UNAVAILABLE, "this host has no configuration yet", NO_CONFIGURATION_RETRY_S)
+            table == null -> turnAway(
+                request,
+                caller,
+                id,
+                UNAVAILABLE,
+                "this host has no configuration yet",
+                NO_CONFIGURATION_RETRY_S,
+            )
             refusing -> turnAway(request, caller, id, UNAVAILABLE, "not run: this host is shutting down", SHUTDOWN_RETRY_S)
             else -> route(request, caller, id, table)
         }
@@ -125,7 +132,9 @@
         val BAD_REQUEST: HttpResponseStatus = HttpResponseStatus.BAD_REQUEST
         val UNAVAILABLE: HttpResponseStatus = HttpResponseStatus.SERVICE_UNAVAILABLE
 
-        /** When a caller should try a host again that has just started, in seconds: the first answer of the store takes less. */
+        /**
+         * When a caller should try a host again that has just started, in seconds: the first answer of the store takes less.
+         */
         const val NO_CONFIGURATION_RETRY_S = "0.3"
 
         /** When a caller that a stopping host turned away should try another, in seconds: at once but for a round trip. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
@@ -114,8 +114,10 @@
  * @property connectTimeoutMillis how long a connection may take to come about, in milliseconds; several round trips between
  * regions and one lost packet's repetition.
  * @property maxIdle idle connections that are kept for one address.
- * @property keptMarginMillis how long before the other end closes an idle connection it is not used any more, in milliseconds.
- * @property probeSeconds time between keep-alive probes, in seconds; with [probeCount] a silent end is found in three seconds.
+ * @property keptMarginMillis how long before the other end closes an idle connection it is not used any more, in
+ * milliseconds.
+ * @property probeSeconds time between keep-alive probes, in seconds; with [probeCount] a silent end is found in three
+ * seconds.
  */
 internal data class PoolSettings(
     val connectTimeoutMillis: Int = 400,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -13,8 +13,8 @@
 /**
  * One line for each decision about a request or about what the host believes.
  *
- * Lines about requests are bounded for each second; what was left out is counted in a line of its own, so that the volume stays
- * bounded under load.
+ * Lines about requests are bounded for each second; what was left out is counted in a line of its own, so that the volume
+ * stays bounded under load.
  */
 internal class DecisionLog(private val clock: Clock, private val maxLinesPerSecond: Int = MAX_LINES_PER_SECOND) {
     private var second = 0L
@@ -26,7 +26,8 @@
 
     fun sent(terms: RequestTerms, upstream: UpstreamId, choice: Choice, waitedMillis: Long, attempt: Int) = line {
         "event=sent id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} upstream=$upstream attempt=$attempt " +
-            "waited_ms=$waitedMillis cost=${choice.cost.toLong()} expected_ms=${choice.expectedMillis.toLong()} at_home=${choice.atHome} ${basis()}"
+            "waited_ms=$waitedMillis cost=${choice.cost.toLong()} expected_ms=${choice.expectedMillis.toLong()} " +
+            "at_home=${choice.atHome} ${basis()}"
     }
 
     fun attemptFailed(terms: RequestTerms, upstream: UpstreamId, kind: FailureKind, reason: String) = line {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
@@ -37,7 +37,8 @@
         if (!request.withinShare && queue.sizeOf(request.workspaceId) >= MAX_WAITING_BEYOND_SHARE) {
             return request.refuse("the workspace asks for more than its share and others of its requests wait")
         }
-        val waiting = Waiting(request.id, request.workspaceId, request.withinShare, clock.nowMillis(), request.giveUpAtMillis(), request)
+        val waiting =
+            Waiting(request.id, request.workspaceId, request.withinShare, clock.nowMillis(), request.giveUpAtMillis(), request)
         request.waiting = waiting
         queue.add(waiting)
         place(request.service)
@@ -81,7 +82,8 @@
         if (!request.withinShare && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
         val usable = upstreams.usable(request.service)
         val fresh = usable.filterNot { it.entry.id in request.triedUpstreams }.ifEmpty { usable }
-        val choice = placement.choose(nowMillis, fresh.map { it.candidate }, request.demand, request.isPatient(nowMillis)) ?: return false
+        val choice =
+            placement.choose(nowMillis, fresh.map { it.candidate }, request.demand, request.isPatient(nowMillis)) ?: return false
         val upstream = fresh.first { it.candidate === choice.upstream }
         request.waiting = null
         request.demand?.let { demand ->
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ForwardedHeaders.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ForwardedHeaders.kt
@@ -25,8 +25,11 @@
     val forwarded = uncheckedHeaders()
     headers.forEach { (name, value) ->
         val lower = name.lowercase()
-        val drop = lower in CONNECTION_HEADERS || lower in dropped || lower in names.routerOnly ||
-            lower == "authorization" || lower == names.remainingMillis.lowercase()
+        val drop = lower in CONNECTION_HEADERS ||
+            lower in dropped ||
+            lower in names.routerOnly ||
+            lower == "authorization" ||
+            lower == names.remainingMillis.lowercase()
         if (!drop) forwarded.add(name, value)
     }
     return forwarded
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -5,13 +5,13 @@
 import buckthornbay.core.admission.FairShares
 import buckthornbay.core.wire.CallerInterface
 import io.netty.buffer.ByteBufAllocator
+import io.netty.buffer.UnpooledByteBufAllocator
 import io.netty.channel.EventLoop
 
 /** What the handlers of requests share; all of it lives on one event loop. */
 internal class GatewayContext(
     val clock: Clock,
     val eventLoop: EventLoop,
-    val allocator: ByteBufAllocator,
     val callerInterface: CallerInterface,
     val connections: ConnectionPool,
     val admission: AdmissionPolicy,
@@ -19,6 +19,8 @@
     val log: DecisionLog,
     val metrics: GatewayMetrics,
 ) {
+    val allocator: ByteBufAllocator = UnpooledByteBufAllocator.DEFAULT
+
     lateinit var dispatcher: Dispatcher
 
     /** Requests in progress. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -17,7 +17,6 @@
 import buckthornbay.store.HttpTransport
 import buckthornbay.store.ObjectCollections
 import buckthornbay.store.SystemClock
-import io.netty.buffer.UnpooledByteBufAllocator
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -45,7 +44,6 @@
     private val eventLoop: EventLoop = group.next()
     private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher())
     private val clock: Clock = SystemClock
-    private val allocator = UnpooledByteBufAllocator.DEFAULT
     private val incarnation = System.currentTimeMillis()
     private val random = RandomSource.SPLIT_MIX_64.create(incarnation xor settings.host.value.hashCode().toLong())
     private val log = DecisionLog(clock)
@@ -64,14 +62,14 @@
         random,
         MEMBERSHIP,
     )
-    private val peers = PeerExchange(membership, accounts, knowledge, transport, clock, log, scope) { context.dispatcher.waitingWorkspaces }
+    private val peers =
+        PeerExchange(membership, accounts, knowledge, transport, clock, log, scope) { context.dispatcher.waitingWorkspaces }
     private val store = deployment.store(transport, settings.store.address)
     private val watcher = StoreWatcher(store, deployment.format, knowledge, registry, clock, log, random)
     private val metrics = GatewayMetrics()
     private val context = GatewayContext(
         clock,
         eventLoop,
-        allocator,
         deployment.callerInterface,
         connections,
         AdmissionPolicy(random),
@@ -200,15 +198,23 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
 
-        /** Time in which demand is forgotten, in milliseconds: several exchanges of news, and a quarter of the shares' window. */
+        /**
+         * Time in which demand is forgotten, in milliseconds: several exchanges of news, and a quarter of the shares' window.
+         */
         const val ASKED_FADE_MILLIS = 1_200.0
         const val METRICS_PATH = "/metrics"
 
-        /** How long callers may use an answer, in milliseconds: short enough that a host that stops is forgotten in its grace time. */
+        /**
+         * How long callers may use an answer, in milliseconds: short enough that a host that stops is forgotten in its grace
+         * time.
+         */
         const val ADDRESS_TTL_MILLIS = 2_000L
         const val MAX_ADDRESSES = 64
 
-        /** How long new connections and requests are taken after the signal to stop, in milliseconds; callers ask anew meanwhile. */
+        /**
+         * How long new connections and requests are taken after the signal to stop, in milliseconds; callers ask anew
+         * meanwhile.
+         */
         const val LINGER_MILLIS = 3_000L
 
         /** Time before the kill in which the process ends by itself, in milliseconds. */
@@ -219,10 +225,15 @@
         /** How often overdue things are looked for, in milliseconds: a tenth of the shortest bound that they have. */
         const val KEEP_UP_MILLIS = 200L
 
-        /** How long an upstream that has work may send nothing at all, in milliseconds; engines send several events a second. */
+        /**
+         * How long an upstream that has work may send nothing at all, in milliseconds; engines send several events a second.
+         */
         const val SILENT_MILLIS = 1_500L
 
-        /** Peers are heard from several times a second, so that a host that is gone is left out of addresses within two seconds. */
+        /**
+         * Peers are heard from several times a second, so that a host that is gone is left out of addresses within two
+         * seconds.
+         */
         val MEMBERSHIP = MembershipSettings(periodMillis = 150, answerMillis = 600, suspectMillis = 1_500)
     }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequestEncoder
@@ -40,8 +39,8 @@
 /**
  * A connection to an upstream, a peer or the store that carries one request at a time.
  *
- * Bytes that come while no answer is awaited belong to no request, so the connection is closed then. An answer that arrives late
- * in the place of another is skipped if the listener does not know it.
+ * Bytes that come while no answer is awaited belong to no request, so the connection is closed then. An answer that arrives
+ * late in the place of another is skipped if the listener does not know it.
  */
 internal class HttpConnection(private val clock: Clock, private val onIdle: (HttpConnection) -> Unit) :
     ChannelInboundHandlerAdapter() {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Listeners.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Listeners.kt
@@ -60,7 +60,9 @@
         /** Unsent bytes of one connection at which its source is held back, and at which it goes on. */
         const val HIGH_WATER_BYTES = 65_536
         const val LOW_WATER_BYTES = 16_384
-        val DECODER_CONFIG: HttpDecoderConfig = HttpDecoderConfig().setMaxHeaderSize(MAX_HEAD_BYTES).setMaxInitialLineLength(MAX_LINE_BYTES)
+        val DECODER_CONFIG: HttpDecoderConfig = HttpDecoderConfig().setMaxHeaderSize(
+            MAX_HEAD_BYTES,
+        ).setMaxInitialLineLength(MAX_LINE_BYTES)
 
         /** Largest head of a request, in bytes; the configurations' usual bound, before one is known. */
         const val MAX_HEAD_BYTES = 16_384
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -29,7 +29,7 @@
  * @property callerWaitsUntilMillis until when the caller waits, in milliseconds.
  * @property deadlineAtMillis when the request must have its whole answer, in milliseconds.
  */
-internal class RequestTerms(
+internal data class RequestTerms(
     val id: String,
     val route: Route,
     val workspace: WorkspaceId?,
@@ -47,7 +47,8 @@
     private val terms: RequestTerms,
     private val received: ReceivedRequest,
     private val caller: CallerConnection,
-) : CallerWork, AttemptListener {
+) : CallerWork,
+    AttemptListener {
     private val route = terms.route
     private val lifecycle = RequestLifecycle(
         unrepeatable = !route.repeatable,
@@ -97,8 +98,7 @@
     fun giveUpAtMillis(): Long = context.admission.giveUpAtMillis(route, terms.arrivedAtMillis, terms.deadlineAtMillis)
 
     /** Whether the request has time to wait for the upstream that is best for all. */
-    fun isPatient(nowMillis: Long): Boolean =
-        nowMillis < context.admission.patientUntilMillis(route, terms.arrivedAtMillis)
+    fun isPatient(nowMillis: Long): Boolean = nowMillis < context.admission.patientUntilMillis(route, terms.arrivedAtMillis)
 
     /** Sends the request to [upstream], which [choice] explains. */
     fun send(upstream: UpstreamState, choice: Choice) {
@@ -109,10 +109,12 @@
         val nowMillis = context.clock.nowMillis()
         upstream.candidate.load.sent(nowMillis, id, choice.cost)
         context.log.sent(terms, upstream.entry.id, choice, nowMillis - terms.arrivedAtMillis, triedUpstreams.size)
+        if (resuming) progress.resumed()
         val next = Attempt(id, upstream, context, route.kind == RouteKind.EVENT_STREAM, this)
         attempt = next
         val leftMillis = minOf(terms.callerWaitsUntilMillis, terms.deadlineAtMillis) - nowMillis
-        val request = upstreamRequest(received, terms, context.callerInterface.headers, upstream.entry.id, leftMillis, progress.lastId)
+        val request =
+            upstreamRequest(received, terms, context.callerInterface.headers, upstream.entry.id, leftMillis, progress.lastId)
         next.start(request, if (route.repeatable) Long.MAX_VALUE else FRESH_CONNECTION_MILLIS)
     }
 
@@ -150,7 +152,7 @@
         when (progress.accept(event.id)) {
             StreamProgress.Verdict.NEXT -> caller.stream(event.bytes)
             StreamProgress.Verdict.SEEN -> event.bytes.release()
-            StreamProgress.Verdict.GAP -> {
+            StreamProgress.Verdict.MISSED -> {
                 event.bytes.release()
                 attempt.silent("an event is missing before event ${event.id}")
             }
@@ -193,7 +195,10 @@
         }
         if (lifecycle.state == RequestState.STREAMING) {
             answer.body.release()
-            follow(lifecycle.failed(FailureKind.BROKEN_IN_ANSWER), "the upstream answered ${answer.status.code()} to a resumption")
+            follow(
+                lifecycle.failed(FailureKind.BROKEN_IN_ANSWER),
+                "the upstream answered ${answer.status.code()} to a resumption",
+            )
             return
         }
         lifecycle.answering()
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -102,8 +102,9 @@
     private inner class ConfigurationTarget : Target {
         override val kind = format.configurationKind
 
-        override fun listed(snapshot: CollectionSnapshot) =
-            snapshot.objects.filter { it.name == format.configurationName }.forEach { knowledge.offerConfiguration(it.value, STORE) }
+        override fun listed(snapshot: CollectionSnapshot) = snapshot.objects.filter {
+            it.name == format.configurationName
+        }.forEach { knowledge.offerConfiguration(it.value, STORE) }
 
         override fun changed(changes: CollectionChanges) = changes.changes.forEach { change ->
             if (change is CollectionChange.Put && change.stored.name == format.configurationName) {
@@ -124,7 +125,9 @@
     private companion object {
         const val STORE = "store"
 
-        /** How long a watch waits, in milliseconds; a silent one is noticed a call's time later, within the bound for changes. */
+        /**
+         * How long a watch waits, in milliseconds; a silent one is noticed a call's time later, within the bound for changes.
+         */
         const val WATCH_MILLIS = 1_500L
 
         /** First pause after a failed call, in milliseconds; ten times the store's usual time for an answer. */
--- a/router/src/test/kotlin/buckthornbay/router/TestFleet.kt
+++ b/router/src/test/kotlin/buckthornbay/router/TestFleet.kt
@@ -3,11 +3,11 @@
 import arrow.fx.coroutines.ResourceScope
 import arrow.fx.coroutines.resourceScope
 import buckthornbay.core.config.readDesiredState
-import buckthornbay.store.DesiredStateStore
 import buckthornbay.protocol.DesiredState
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.ZoneId
+import buckthornbay.store.DesiredStateStore
 import buckthornbay.testkit.StandIns
 import buckthornbay.testkit.standIns
 import com.github.michaelbull.result.get
--- a/testkit/src/main/kotlin/buckthornbay/testkit/PlatformServer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/PlatformServer.kt
@@ -1,9 +1,9 @@
 package buckthornbay.testkit
 
+import buckthornbay.protocol.WireJson
 import buckthornbay.store.ListedHost
 import buckthornbay.store.StoreError
 import buckthornbay.store.StoredObject
-import buckthornbay.protocol.WireJson
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.fold
 import io.ktor.http.ContentType
--- a/testkit/src/main/kotlin/buckthornbay/testkit/StandIns.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/StandIns.kt
@@ -1,11 +1,11 @@
 package buckthornbay.testkit
 
 import arrow.fx.coroutines.ResourceScope
-import buckthornbay.store.ListedHost
 import buckthornbay.protocol.DesiredState
 import buckthornbay.protocol.ServiceKind
 import buckthornbay.protocol.Upstream
 import buckthornbay.protocol.UpstreamId
+import buckthornbay.store.ListedHost
 import io.ktor.server.application.Application
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.connector
--- a/testkit/src/test/kotlin/buckthornbay/testkit/ObjectStoreContractTest.kt
+++ b/testkit/src/test/kotlin/buckthornbay/testkit/ObjectStoreContractTest.kt
@@ -1,12 +1,12 @@
 package buckthornbay.testkit
 
 import arrow.fx.coroutines.resourceScope
+import buckthornbay.protocol.DesiredState
 import buckthornbay.store.DesiredStateStore
 import buckthornbay.store.HttpObjectStore
 import buckthornbay.store.HttpStoreSettings
 import buckthornbay.store.ObjectStore
 import buckthornbay.store.StoreError
-import buckthornbay.protocol.DesiredState
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.getError
 import io.ktor.client.HttpClient
