--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -25,7 +25,10 @@
     public fun ask(nowMillis: Long, workspace: WorkspaceId, tokens: Double): Boolean {
         asked.charge(nowMillis, workspace, tokens)
         refreshLevel(nowMillis)
-        if (asked.tokensPerSecond(nowMillis, workspace) <= level) return true
+        if (asked.tokensPerSecond(nowMillis, workspace) <= level) {
+            buckets.remove(workspace)
+            return true
+        }
         val bucket = refill(nowMillis, workspace)
         if (bucket.tokens <= 0) return false
         bucket.tokens -= tokens
@@ -41,7 +44,7 @@
     private fun refill(nowMillis: Long, workspace: WorkspaceId): Bucket {
         val rate = level * asked.ownPart(nowMillis, workspace)
         val capacity = rate * settings.burstSeconds
-        val bucket = buckets.getOrPut(workspace) { Bucket(capacity, nowMillis) }
+        val bucket = buckets.getOrPut(workspace) { Bucket(capacity * settings.firstBurst, nowMillis) }
         val earned = rate * (nowMillis - bucket.asOfMillis) / MILLIS_PER_SECOND
         bucket.tokens = minOf(bucket.tokens + earned, capacity)
         bucket.asOfMillis = nowMillis
@@ -85,10 +88,12 @@
  *
  * @property usedPart part of the engines' throughput that is shared out.
  * @property burstSeconds time for which a workspace's unused share is kept, in seconds; shares are counted over four.
+ * @property firstBurst part of that which a workspace has when it begins to ask for more than its share; it had most of it before.
  * @property levelMillis least time between two divisions, in milliseconds; news from peers take longer.
  */
 public data class FairShareSettings(
     public val usedPart: Double = 1.1,
     public val burstSeconds: Double = 1.5,
+    public val firstBurst: Double = 0.25,
     public val levelMillis: Long = 50,
 )
--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/load/PlacementTest.kt
@@ -0,0 +1,92 @@
+package buckthornbay.core.load
+
+import buckthornbay.protocol.RegionId
+import buckthornbay.protocol.UpstreamId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class PlacementTest {
+    private val here = RegionId("here")
+    private val there = RegionId("there")
+    private val placement = Placement(here)
+
+    private fun engine(id: String, region: RegionId = here) =
+        Candidate(UpstreamId(id), region, EngineLoad(), UpstreamTrust(), PrefixCacheModel())
+
+    private fun plain(id: String, region: RegionId = here, slots: Int = 6) =
+        Candidate(UpstreamId(id), region, PlainLoad(slots), UpstreamTrust(), cache = null)
+
+    private fun brief(topic: String, own: String) =
+        TokenDemand(11_000, 400, listOf(PromptPart("system", 500), PromptPart(topic, 4_900), PromptPart(own, 5_600)))
+
+    private fun Placement.pick(candidates: List<Candidate>, demand: TokenDemand?, nowMillis: Long = 0, patient: Boolean = false) =
+        choose(nowMillis, candidates, demand, patient)
+
+    @Test
+    fun allHostsSendAPartToTheSameEngineFirst() {
+        val engines = List(8) { engine("engine-$it", if (it % 2 == 0) here else there) }
+        for (topic in List(20) { "topic-$it" }) {
+            val mine = Placement(here).pick(engines, brief(topic, "a"))
+            val theirs = Placement(there).pick(engines.reversed(), brief(topic, "b"))
+            assertEquals(mine?.upstream?.id, theirs?.upstream?.id, topic)
+            assertTrue(mine!!.atHome)
+        }
+    }
+
+    @Test
+    fun partsAreSpreadOverTheEngines() {
+        val engines = List(8) { engine("engine-$it") }
+        val chosen = List(200) { placement.pick(engines, brief("topic-$it", "own"))?.upstream?.id }
+        val most = chosen.groupingBy { it }.eachCount().values.max()
+        assertTrue(most < 60, "one engine is first for $most of 200 topics")
+    }
+
+    /** The load: one topic becomes hot; its engine's unread tokens pile up. */
+    @Test
+    fun aHotPartSpillsOverWhenWaitingCostsMoreThanReading() {
+        val engines = List(4) { engine("engine-$it") }
+        val home = assertNotNull(placement.pick(engines, brief("hot", "a"))).upstream
+        home.load.sent(0, "one", 14_000.0)
+        home.load.sent(0, "two", 14_000.0)
+        assertNotEquals(home.id, placement.pick(engines, brief("hot", "b"))?.upstream?.id)
+    }
+
+    @Test
+    fun aPatientRequestWaitsForItsEngineAndAnImpatientOneDoesNot() {
+        val engines = List(4) { engine("engine-$it") }
+        val home = assertNotNull(placement.pick(engines, brief("hot", "a"))).upstream
+        home.load.sent(0, "one", 9_000.0)
+        assertNull(placement.pick(engines, brief("hot", "b"), patient = true))
+        assertNotEquals(home.id, placement.pick(engines, brief("hot", "b"), patient = false)?.upstream?.id)
+    }
+
+    @Test
+    fun plainRequestsStayInTheRegionUntilItIsFull() {
+        val near = plain("near")
+        val far = plain("far", there)
+        assertEquals(near, placement.pick(listOf(far, near), demand = null)?.upstream)
+        repeat(9) { near.load.sent(0, "request-$it", 1.0) }
+        assertEquals(far, placement.pick(listOf(far, near), demand = null)?.upstream)
+    }
+
+    @Test
+    fun anUpstreamThatFailsIsAvoidedAndTriedAgainLater() {
+        val failing = plain("failing")
+        val sound = plain("sound", there)
+        repeat(5) { failing.trust.note(0, SendOutcome.FAILED) }
+        assertEquals(sound, placement.pick(listOf(failing, sound), demand = null)?.upstream)
+        assertEquals(failing, placement.pick(listOf(failing, sound), demand = null, nowMillis = 6_000)?.upstream)
+    }
+
+    @Test
+    fun anUpstreamThatCanNotBeReachedRests() {
+        val gone = plain("gone")
+        gone.trust.note(0, SendOutcome.UNREACHABLE)
+        assertNull(placement.pick(listOf(gone), demand = null, nowMillis = 100))
+        assertEquals(gone, placement.pick(listOf(gone), demand = null, nowMillis = 600)?.upstream)
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/registry/UpstreamRegistryTest.kt
@@ -0,0 +1,73 @@
+package buckthornbay.core.registry
+
+import buckthornbay.protocol.ServiceId
+import buckthornbay.protocol.UpstreamId
+import buckthornbay.protocol.ZoneId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class UpstreamRegistryTest {
+    private val service = ServiceId("models")
+    private val registry = UpstreamRegistry()
+
+    private fun entry(id: String, draining: Boolean = false, born: Long = 1_000, sequence: Long = 1) =
+        UpstreamEntry(UpstreamId(id), service, "10.0.0.1:80", ZoneId("zone"), slots = 4, draining, born, sequence)
+
+    private fun usable() = registry.usable(service).map { it.id.value }
+
+    @Test
+    fun aDrainingUpstreamGetsNoNewWork() {
+        registry.put(entry("a"), revision = 1)
+        registry.put(entry("a", draining = true, sequence = 2), revision = 2)
+        assertEquals(emptyList(), usable())
+    }
+
+    @Test
+    fun aDelayedWriteDoesNotBringADrainingUpstreamBack() {
+        registry.put(entry("a", draining = true, sequence = 5), revision = 5)
+        registry.put(entry("a", sequence = 4), revision = 6)
+        assertEquals(emptyList(), usable())
+        registry.removed(nowMillis = 0, UpstreamId("a"), revision = 7)
+        registry.put(entry("a", sequence = 4), revision = 8)
+        assertEquals(emptyList(), usable())
+        registry.put(entry("a", born = 2_000), revision = 9)
+        assertEquals(listOf("a"), usable(), "a new incarnation under the same id is another upstream")
+    }
+
+    @Test
+    fun aRemovalWhileTheStoreAnswersHoldsAtOnce() {
+        registry.put(entry("a"), revision = 1)
+        registry.removed(nowMillis = 10_000, UpstreamId("a"), revision = 2)
+        assertEquals(emptyList(), usable())
+    }
+
+    @Test
+    fun registrationsThatLapsedInAnOutageStayUntilTheGraceIsOver() {
+        registry.put(entry("lives"), revision = 1)
+        registry.put(entry("gone"), revision = 2)
+        registry.storeLost()
+        registry.storeRegained(nowMillis = 10_000)
+        registry.replaceAll(nowMillis = 10_000, entries = emptyList(), revision = 3)
+        assertEquals(listOf("lives", "gone"), usable())
+        registry.put(entry("lives", sequence = 9), revision = 4)
+        registry.expire(nowMillis = 11_900)
+        assertEquals(listOf("lives", "gone"), usable())
+        registry.expire(nowMillis = 12_000)
+        assertEquals(listOf("lives"), usable())
+    }
+
+    @Test
+    fun aDrainingUpstreamThatVanishesInAnOutageIsGone() {
+        registry.put(entry("a", draining = true), revision = 1)
+        registry.storeLost()
+        registry.removed(nowMillis = 0, UpstreamId("a"), revision = 2)
+        assertEquals(0, registry.all().size)
+    }
+
+    @Test
+    fun anOlderListChangesNothing() {
+        registry.put(entry("a"), revision = 10)
+        registry.replaceAll(nowMillis = 0, entries = emptyList(), revision = 9)
+        assertEquals(listOf("a"), usable())
+    }
+}
