Hold callers and upstreams to a table of misbehaviour

All rows pass on the code as it stood, but for noise at the stop: sockets are now closed before their event loop ends.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
@@ -62,9 +62,10 @@
         idle.values.removeIf { it.isEmpty() }
     }
 
-    /** Closes the idle connections to [address], whose process is gone. */
-    fun forget(address: String) {
-        idle.remove(address)?.forEach { it.abort() }
+    /** Closes all idle connections. */
+    fun closeAll() {
+        idle.values.flatten().forEach { it.abort() }
+        idle.clear()
     }
 
     private fun takeIdle(address: String, maxIdleMillis: Long): HttpConnection? {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -29,6 +29,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.apache.commons.rng.simple.RandomSource
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
 /** How a deployment's callers, upstreams and store are spoken to. */
@@ -118,7 +119,13 @@
 
     internal fun stop() {
         scope.cancel()
-        group.shutdownGracefully(0, 0, java.util.concurrent.TimeUnit.MILLISECONDS)
+        eventLoop.submit {
+            listeners.close()
+            context.requests.toList().forEach { it.callerLeft() }
+            (callers.connections + hostHandler.connections).forEach { it.abort() }
+            connections.closeAll()
+        }.await(CLOSE_MILLIS)
+        group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).await(CLOSE_MILLIS)
         log.belief("event=stopped host=${settings.host}")
     }
 
@@ -222,6 +229,9 @@
         const val DRAIN_POLL_MILLIS = 50L
         const val FLUSH_MILLIS = 50L
 
+        /** Time for closing all sockets at the end, in milliseconds; nothing is in progress on them by then. */
+        const val CLOSE_MILLIS = 200L
+
         /** How often overdue things are looked for, in milliseconds: a tenth of the shortest bound that they have. */
         const val KEEP_UP_MILLIS = 200L
 
--- /dev/null
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -0,0 +1,204 @@
+package buckthornbay.router.gateway
+
+import arrow.fx.coroutines.resourceScope
+import buckthornbay.platform.PlatformFormat
+import buckthornbay.platform.PlatformInterface
+import buckthornbay.platform.PlatformStore
+import buckthornbay.protocol.HostId
+import buckthornbay.protocol.RegionId
+import buckthornbay.protocol.ZoneId
+import buckthornbay.testkit.platform.PlatformStoreServer
+import buckthornbay.testkit.platform.ScriptedExchange
+import buckthornbay.testkit.platform.ScriptedUpstream
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import kotlin.test.fail
+
+/** A gateway on loopback with a stand-in of the store and scripted upstreams. */
+internal class GatewayFixture(val store: PlatformStoreServer) : AutoCloseable {
+    private val upstreams = ArrayList<ScriptedUpstream>()
+    private var version = 0
+    private val ports = freePorts(4)
+    val settings = GatewaySettings(
+        host = HostId("edge-1"),
+        region = RegionId("region"),
+        zone = ZoneId("zone"),
+        seeds = emptyList(),
+        listen = ListenSettings(
+            callers = "127.0.0.1:${ports[0]}",
+            readiness = "127.0.0.1:${ports[1]}",
+            control = "127.0.0.1:${ports[2]}",
+            addresses = "127.0.0.1:${ports[3]}",
+        ),
+        store = StoreSettings(store.address),
+        bounds = BoundSettings(
+            graceSeconds = 4.0,
+            retryRatio = 0.2,
+            retryWindowSeconds = 10.0,
+            retrySlack = 60.0,
+            shareWindowSeconds = 4.0,
+        ),
+        zones = listOf(ZoneSettings(ZoneId("zone"), RegionId("region"))),
+    )
+
+    /** Writes a manifest with the three routes and the one key that the tests use. */
+    fun manifest(change: (String) -> String = { it }) {
+        version++
+        store.put("config", "main", Json.parseToJsonElement(change(MANIFEST.replace("VERSION", "$version"))))
+    }
+
+    /** Starts an upstream of [service] that answers by [script] and registers it under [id]. */
+    fun upstream(id: String, service: String, script: (ScriptedExchange) -> Unit): ScriptedUpstream {
+        val upstream = ScriptedUpstream(script).also { upstreams += it }
+        register(id, service, upstream.address)
+        return upstream
+    }
+
+    fun register(id: String, service: String, address: String, state: String = "ready", sequence: Int = 1) {
+        val entry = """{"Backend":"$service","Address":"$address","Zone":"zone","Version":"v1","Slots":8,""" +
+            """"State":"$state","ColdLeftMs":0,"Seq":$sequence,"born":1000}"""
+        store.put("servers", id, Json.parseToJsonElement(entry))
+    }
+
+    /** Opens a caller's connection. */
+    fun caller(address: String = settings.listen.callers) = CallerSocket(address)
+
+    /** Sends one request on a connection of its own and returns the answer. */
+    fun call(request: String): CallerAnswer = caller().use { caller ->
+        caller.send(request)
+        caller.answer()
+    }
+
+    fun isReady(): Boolean = caller(settings.listen.readiness).use { caller ->
+        caller.send("GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+        caller.answer().status == 200
+    }
+
+    suspend fun awaitReady() = awaitTrue("the gateway is ready") { isReady() }
+
+    override fun close() {
+        upstreams.forEach { it.close() }
+    }
+
+    companion object {
+        /** Runs [test] against a gateway that is up; the store has a manifest unless [prepare] says otherwise. */
+        fun run(prepare: GatewayFixture.() -> Unit = { manifest() }, test: suspend GatewayFixture.(GatewayProcess) -> Unit) =
+            runBlocking {
+                PlatformStoreServer().use { store ->
+                    GatewayFixture(store).use { fixture ->
+                        fixture.prepare()
+                        resourceScope { fixture.test(gatewayProcess(fixture.settings, DEPLOYMENT)) }
+                    }
+                }
+            }
+
+        val DEPLOYMENT = Deployment(PlatformInterface, PlatformFormat) { transport, address ->
+            PlatformStore(transport, address, callTimeoutMillis = 300)
+        }
+
+        suspend fun awaitTrue(what: String, limitMillis: Long = 5_000, condition: suspend () -> Boolean) {
+            val end = System.nanoTime() + limitMillis * 1_000_000
+            while (!condition()) {
+                if (System.nanoTime() > end) fail("not within $limitMillis ms: $what")
+                delay(20)
+            }
+        }
+
+        private fun freePorts(count: Int): List<Int> {
+            val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
+            return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
+        }
+
+        private const val MANIFEST = """{"Version":VERSION,"Routes":[
+            {"Name":"read","Hostname":"a.example","PathPrefix":"/read/","Type":"safe","TimeoutMs":2000,"GoalMs":300,"Priority":1,
+             "Backend":"plain","Attempts":2,"Public":false},
+            {"Name":"charge","Hostname":"a.example","PathPrefix":"/charge/","Type":"unsafe","TimeoutMs":2000,"GoalMs":300,
+             "Priority":1,"Backend":"plain","Attempts":1,"Public":false},
+            {"Name":"stream","Hostname":"a.example","PathPrefix":"/stream/","Type":"stream","TimeoutMs":2000,"GoalMs":300,
+             "Priority":1,"Backend":"models","Attempts":2,"Public":false,"Affinity":true,"Resumable":true,"GapAimMs":300},
+            {"Name":"once","Hostname":"a.example","PathPrefix":"/once/","Type":"stream","TimeoutMs":2000,"GoalMs":300,
+             "Priority":1,"Backend":"models","Attempts":1,"Public":false,"Affinity":true,"Resumable":false,"GapAimMs":300}],
+            "Services":[{"Name":"plain","HealthPath":"/healthz","MaxConns":100,"Protocol":"h1","Tls":false},
+            {"Name":"models","HealthPath":"/healthz","MaxConns":100,"Protocol":"h1","Tls":false,
+             "Engine":{"Slots":8,"KvCapacity":100000,"Models":[{"Name":"m"}]}}],
+            "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":10000,"HeaderTimeoutMs":400,"IdleTimeoutMs":1500,"TokensPerS":100000},
+            "Tenants":[{"Name":"growers","ApiKeys":["key-1","key-2"],"Priority":1}]}"""
+    }
+}
+
+/** An answer as a caller sees it; [body] holds the bytes after decoding of chunks, [whole] tells whether it ended as it should. */
+internal class CallerAnswer(val status: Int, val headers: Map<String, String>, val body: String, val whole: Boolean)
+
+/** A caller's connection that sends what it is told, also what is no request. */
+internal class CallerSocket(address: String) : AutoCloseable {
+    private val socket = Socket("127.0.0.1", address.substringAfterLast(':').toInt()).apply { soTimeout = 6_000 }
+    private val input = socket.getInputStream().buffered()
+
+    fun send(text: String) {
+        socket.getOutputStream().write(text.encodeToByteArray())
+        socket.getOutputStream().flush()
+    }
+
+    fun answer(): CallerAnswer {
+        val status = (line() ?: return CallerAnswer(NO_ANSWER, emptyMap(), "", whole = false)).split(' ')[1].toInt()
+        val headers = generateSequence { line()?.takeIf { it.isNotEmpty() } }
+            .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+        if (headers["transfer-encoding"] == "chunked") return chunked(status, headers)
+        val length = headers["content-length"]?.toInt() ?: 0
+        val bytes = input.readNBytes(length)
+        return CallerAnswer(status, headers, bytes.decodeToString(), bytes.size == length)
+    }
+
+    /** Returns whether the other end closes the connection within [millis] milliseconds. */
+    fun isClosedWithin(millis: Int): Boolean {
+        socket.soTimeout = millis
+        return try {
+            input.read() < 0
+        } catch (_: SocketTimeoutException) {
+            false
+        } catch (_: java.io.IOException) {
+            true
+        }
+    }
+
+    override fun close() = socket.close()
+
+    private fun chunked(status: Int, headers: Map<String, String>): CallerAnswer {
+        val body = StringBuilder()
+        while (true) {
+            val size = line()?.trim()?.toIntOrNull(16) ?: return CallerAnswer(status, headers, body.toString(), whole = false)
+            body.append(input.readNBytes(size).decodeToString())
+            line()
+            if (size == 0) return CallerAnswer(status, headers, body.toString(), whole = true)
+        }
+    }
+
+    private fun line(): String? {
+        val line = StringBuilder()
+        while (true) {
+            val byte = try {
+                input.read()
+            } catch (_: java.net.SocketException) {
+                -1
+            }
+            if (byte < 0) return null
+            if (byte == '\n'.code) return line.toString().trimEnd('\r')
+            line.append(byte.toChar())
+        }
+    }
+
+    companion object {
+        /** Stands for a connection that was closed without an answer. */
+        const val NO_ANSWER = -1
+    }
+}
+
+/** Returns a proper request for [path] with the headers that every caller sends, and [more]. */
+internal fun request(path: String, id: String = "id-1", method: String = "GET", body: String = "", more: String = ""): String =
+    "$method $path HTTP/1.1\r\nHost: a.example\r\nX-Buckthornbay-Attempt-Id: $id\r\nX-Buckthornbay-Deadline-Ms: 1800\r\n" +
+        "Authorization: Bearer key-1\r\n$more${if (body.isEmpty()) "" else "Content-Length: ${body.length}\r\n"}\r\n$body"
--- /dev/null
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
@@ -0,0 +1,181 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.testkit.platform.ScriptedExchange
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** What upstreams may do wrong, and what their callers get. */
+class UpstreamContractTest {
+    /**
+     * One way of answering badly, at the first request only; later ones are answered well.
+     *
+     * @param charge status of a request that may run once, and how often it arrives.
+     * @param read status of a request that may be repeated, and how often it arrives.
+     */
+    private class Row(
+        val name: String,
+        val charge: Pair<Int, Int>,
+        val read: Pair<Int, Int> = 200 to 2,
+        val first: (ScriptedExchange) -> Unit,
+    )
+
+    private val rows = listOf(
+        Row("cut before its length", charge = 502 to 1) {
+            it.write("HTTP/1.1 200 OK\r\n${it.genuineHeaders()}Content-Length: 100\r\n\r\nshort")
+            it.close()
+        },
+        Row("cut in a chunk", charge = 502 to 1) {
+            it.write("HTTP/1.1 200 OK\r\n${it.genuineHeaders()}Transfer-Encoding: chunked\r\n\r\n50\r\nshort")
+            it.close()
+        },
+        Row("closed without an answer", charge = 502 to 1) { it.close() },
+        Row("reset without an answer", charge = 502 to 1) { it.reset() },
+        Row("no length and reset", charge = 502 to 1) {
+            it.write("HTTP/1.1 200 OK\r\n${it.genuineHeaders()}Connection: close\r\n\r\npart")
+            Thread.sleep(50)
+            it.reset()
+        },
+        Row("no HTTP", charge = 502 to 1) {
+            it.write("rubbish rubbish\r\n\r\n")
+            it.close()
+        },
+        Row("a success without signature", charge = 502 to 1) { it.answer(signed = false) },
+        Row("an encoded body", charge = 502 to 1) { it.answer(more = "Content-Encoding: gzip\r\n") },
+        Row("not run", charge = 200 to 2) { it.answer("503 Service Unavailable", more = "X-Buckthornbay-Not-Run: 1\r\n", signed = false) },
+        Row("another upstream", charge = 200 to 2) { it.answer("421 Misdirected Request", signed = false) },
+        Row("503 without saying not run", charge = 502 to 1) { it.answer("503 Service Unavailable") },
+        Row("429 without saying not run", charge = 502 to 1, read = 429 to 1) { it.answer("429 Too Many Requests") },
+        Row("a failure of its own", charge = 500 to 1) { it.answer("500 Internal Server Error") },
+        Row("not found", charge = 404 to 1, read = 404 to 1) { it.answer("404 Not Found") },
+        Row("a provisional answer first", charge = 200 to 1, read = 200 to 1) {
+            it.write("HTTP/1.1 100 Continue\r\n\r\n")
+            it.answer()
+        },
+        Row("another request's answer first", charge = 200 to 1, read = 200 to 1) {
+            it.write("HTTP/1.1 200 OK\r\nX-Buckthornbay-Attempt-Id: other\r\nX-Buckthornbay-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong")
+            it.answer()
+        },
+        Row("no length and an orderly end", charge = 200 to 1, read = 200 to 1) {
+            it.write("HTTP/1.1 200 OK\r\n${it.genuineHeaders()}Connection: close\r\n\r\nok")
+            it.close()
+        },
+    )
+
+    @Test
+    fun nothingRunsTwiceThatMayRunOnceAndNothingFalseIsPassedOn() {
+        for (row in rows) expect(row, path = "/charge/x", method = "POST", expected = row.charge)
+    }
+
+    @Test
+    fun whatMayBeRepeatedIsServedByAnotherTry() {
+        for (row in rows) expect(row, path = "/read/x", method = "GET", expected = row.read)
+    }
+
+    private fun expect(row: Row, path: String, method: String, expected: Pair<Int, Int>) = GatewayFixture.run {
+        val upstream = upstream("plain-1", "plain") { if (it.number == 1) row.first(it) else it.answer() }
+        awaitReady()
+        val answer = call(request(path, method = method, body = if (method == "POST") "a" else ""))
+        assertEquals(expected, answer.status to upstream.requests.size, "${row.name}, $path: ${answer.body}")
+        val genuine = answer.headers["x-buckthornbay-server-seal"] != null
+        assertEquals(answer.status != 502, genuine, "${row.name}: a signature stands under an upstream's own answer only")
+        if (answer.status == 200) assertEquals("ok", answer.body, row.name)
+    }
+
+    @Test
+    fun bytesAfterAWholeAnswerBelongToNoRequest() = GatewayFixture.run {
+        upstream("plain-1", "plain") { exchange ->
+            exchange.answer(body = exchange.request.line)
+            if (exchange.number == 1) exchange.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
+        }
+        awaitReady()
+        caller().use { caller ->
+            for (number in 1..5) {
+                caller.send(request("/read/$number", "id-$number"))
+                assertEquals("GET /read/$number HTTP/1.1", caller.answer().body)
+            }
+        }
+    }
+
+    private fun ScriptedExchange.beginEvents() =
+        write("HTTP/1.1 200 OK\r\n${genuineHeaders()}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+
+    private fun ScriptedExchange.chunk(text: String) = write("${text.length.toString(16)}\r\n$text\r\n")
+
+    private fun ScriptedExchange.events(numbers: IntRange) = numbers.forEach { chunk("id: $it\ndata: $it\n\n") }
+
+    @Test
+    fun aStreamThatBreaksGoesOnAtAnotherUpstreamWithoutGapOrRepetition() = GatewayFixture.run {
+        val script: (ScriptedExchange) -> Unit = { exchange ->
+            val after = exchange.request.header("Last-Event-Id")?.toInt()
+            exchange.beginEvents()
+            if (after == null) {
+                exchange.events(1..3)
+                exchange.chunk("id: 4\nda")
+                exchange.reset()
+            } else {
+                exchange.events(after..6)
+                exchange.write("0\r\n\r\n")
+            }
+        }
+        val upstreams = List(2) { upstream("models-$it", "models", script) }
+        awaitReady()
+        val answer = call(request("/stream/x", method = "POST", body = "a"))
+        assertTrue(answer.whole)
+        assertEquals((1..6).joinToString("") { "id: $it\ndata: $it\n\n" }, answer.body)
+        assertEquals(listOf(null, "3"), upstreams.flatMap { it.requests }.map { it.header("Last-Event-Id") }.sortedBy { it ?: "" })
+    }
+
+    @Test
+    fun aContinuationWithAGapIsNotPassedOn() = GatewayFixture.run {
+        val script: (ScriptedExchange) -> Unit = { exchange ->
+            exchange.beginEvents()
+            exchange.events(if (exchange.request.header("Last-Event-Id") == null) 1..3 else 5..6)
+            exchange.reset()
+        }
+        repeat(2) { upstream("models-$it", "models", script) }
+        awaitReady()
+        val answer = call(request("/stream/x", method = "POST", body = "a"))
+        assertFalse(answer.whole)
+        assertEquals((1..3).joinToString("") { "id: $it\ndata: $it\n\n" }, answer.body)
+    }
+
+    @Test
+    fun aBrokenStreamThatMayNotBeResumedDoesNotLookWhole() = GatewayFixture.run {
+        val upstream = upstream("models-1", "models") { exchange ->
+            exchange.beginEvents()
+            exchange.events(1..2)
+            exchange.close()
+        }
+        awaitReady()
+        val answer = call(request("/once/x", method = "POST", body = "a"))
+        assertFalse(answer.whole)
+        assertEquals(1, upstream.requests.size)
+    }
+
+    @Test
+    fun aStreamThatBreaksBeforeItsFirstEventIsTriedElsewhereWhereItMay() = GatewayFixture.run {
+        val upstream = upstream("models-1", "models") { exchange ->
+            exchange.beginEvents()
+            if (exchange.number == 1) return@upstream exchange.reset()
+            exchange.events(1..2)
+            exchange.write("0\r\n\r\n")
+        }
+        awaitReady()
+        assertTrue(call(request("/stream/x", method = "POST", body = "a")).whole)
+        assertEquals(2, upstream.requests.size)
+    }
+
+    @Test
+    fun aRouteTimeLimitEndsTheRequest() = GatewayFixture.run {
+        upstream("plain-1", "plain") { Thread.sleep(4_000) }
+        awaitReady()
+        val beganNanos = System.nanoTime()
+        val answer = call(request("/charge/x", method = "POST", body = "a"))
+        assertEquals(504, answer.status)
+        assertTrue(System.nanoTime() - beganNanos < 2_300_000_000)
+        assertNull(answer.headers["x-buckthornbay-server-seal"])
+    }
+}
--- /dev/null
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
@@ -0,0 +1,204 @@
+package buckthornbay.testkit.platform
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respond
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.put
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What the store's stand-in does wrong, switchable at any moment. */
+public class PlatformStoreFaults {
+    /** Answers 503 to everything. */
+    @Volatile
+    public var busy: Boolean = false
+
+    /** Answers nothing at all, also to watches that wait. */
+    @Volatile
+    public var silent: Boolean = false
+
+    /** Carries out writes and does not answer them. */
+    @Volatile
+    public var losesReplies: Boolean = false
+
+    /** Lets every answer wait for so long, in milliseconds. */
+    @Volatile
+    public var delayMillis: Long = 0
+}
+
+/**
+ * A stand-in of the platform's store on loopback: objects by kind and name, lists in pages, watches that wait, and a history that can
+ * be forgotten.
+ *
+ * ```kotlin
+ * PlatformStoreServer().use { store -> store.put("config", "main", manifest) }
+ * ```
+ */
+public class PlatformStoreServer(private val pageSize: Int = 500) : AutoCloseable {
+    private class Stored(val spec: JsonElement, val revision: Long)
+
+    private class Event(val revision: Long, val kind: String, val name: String, val stored: Stored?)
+
+    /** What the store does wrong. */
+    public val faults: PlatformStoreFaults = PlatformStoreFaults()
+
+    private val objects = LinkedHashMap<String, LinkedHashMap<String, Stored>>()
+    private val history = ArrayList<Event>()
+    private var revision = 1L
+    private var oldestRevision = 0L
+
+    @Volatile
+    private var calls = 0
+    private val server: EmbeddedServer<*, *> = embeddedServer(Netty, port = 0, host = LOOPBACK) {
+        routing {
+            get("/v1/objects/{kind}") { guarded { if (parameter("Watch") != null) watch() else list() } }
+            post("/v1/objects/{kind}") { guarded { create() } }
+            put("/v1/objects/{kind}/{name}") { guarded { replace() } }
+        }
+    }.start(wait = false)
+
+    /** Where the store listens, as `IP:PORT`. */
+    public val address: String = runBlocking { "$LOOPBACK:${server.engine.resolvedConnectors().single().port}" }
+
+    /** Calls that were made so far, refused ones too. */
+    public val callCount: Int get() = calls
+
+    /** Writes an object as the operator or an upstream would. */
+    @Synchronized
+    public fun put(kind: String, name: String, spec: JsonElement) {
+        revision++
+        val stored = Stored(spec, revision)
+        objects.getOrPut(kind) { LinkedHashMap() }[name] = stored
+        history += Event(revision, kind, name, stored)
+    }
+
+    /** Removes an object. */
+    @Synchronized
+    public fun remove(kind: String, name: String) {
+        revision++
+        objects[kind]?.remove(name)
+        history += Event(revision, kind, name, null)
+    }
+
+    /** Returns the names of the objects of [kind]. */
+    @Synchronized
+    public fun names(kind: String): Set<String> = objects[kind].orEmpty().keys.toSet()
+
+    /** Forgets all history, so that older watches are told to list again. */
+    @Synchronized
+    public fun compact() {
+        history.clear()
+        oldestRevision = revision
+    }
+
+    override fun close() {
+        server.stop(0, 0)
+    }
+
+    private suspend fun io.ktor.server.routing.RoutingContext.guarded(answer: suspend ApplicationCall.() -> Unit) {
+        calls++
+        if (faults.silent) awaitCancellation()
+        if (faults.busy) return call.respond(HttpStatusCode.ServiceUnavailable)
+        delay(faults.delayMillis.milliseconds)
+        call.answer()
+    }
+
+    private suspend fun ApplicationCall.list() {
+        val after = parameter("SinceRev")
+        val page = synchronized(this@PlatformStoreServer) {
+            val all = objects[kind()].orEmpty().toSortedMap().entries.filter { after == null || it.key > after }
+            val entries = all.take(pageSize).map { (name, stored) -> item(name, stored) }
+            JsonObject(
+                mapOf(
+                    "Entries" to JsonArray(entries),
+                    "HasMore" to JsonPrimitive(all.size > pageSize),
+                    "StoreRevision" to JsonPrimitive(revision),
+                ),
+            )
+        }
+        respondJson(page)
+    }
+
+    private suspend fun ApplicationCall.watch() {
+        val since = checkNotNull(parameter("Watch")?.toLongOrNull()) { "a watch names a revision" }
+        val endNanos = System.nanoTime() + (parameter("WaitMs")?.toLong() ?: 0) * NANOS_PER_MILLI
+        while (true) {
+            if (faults.silent) awaitCancellation()
+            val (gone, events, now) = synchronized(this@PlatformStoreServer) {
+                Triple(since < oldestRevision, history.filter { it.kind == kind() && it.revision > since }, revision)
+            }
+            if (gone) return respond(HttpStatusCode.Gone)
+            if (events.isNotEmpty() || System.nanoTime() >= endNanos) return respondJson(changes(events, now))
+            delay(WATCH_POLL_MILLIS.milliseconds)
+        }
+    }
+
+    private suspend fun ApplicationCall.create() {
+        val body = Json.parseToJsonElement(receiveText()).jsonObject
+        val name = body.getValue("Meta").jsonObject.getValue("Name").jsonPrimitive.content
+        if (name in names(kind())) return respond(HttpStatusCode.Conflict)
+        write(name, body)
+    }
+
+    private suspend fun ApplicationCall.replace() {
+        val name = checkNotNull(parameters["name"]) { "the path names an object" }
+        if (name !in names(kind())) return respond(HttpStatusCode.NotFound)
+        write(name, Json.parseToJsonElement(receiveText()).jsonObject)
+    }
+
+    private suspend fun ApplicationCall.write(name: String, body: JsonObject) {
+        put(kind(), name, body["Spec"] ?: JsonNull)
+        if (faults.losesReplies) awaitCancellation()
+        respondJson(JsonObject(emptyMap()))
+    }
+
+    private fun changes(events: List<Event>, now: Long) = JsonObject(
+        mapOf(
+            "events" to JsonArray(
+                events.map { event ->
+                    val stored = event.stored ?: Stored(JsonNull, event.revision)
+                    JsonObject(mapOf("Deleted" to JsonPrimitive(event.stored == null), "Object" to item(event.name, stored)))
+                },
+            ),
+            "StoreRevision" to JsonPrimitive(now),
+        ),
+    )
+
+    private fun item(name: String, stored: Stored) = JsonObject(
+        mapOf(
+            "Meta" to JsonObject(mapOf("Name" to JsonPrimitive(name), "Revision" to JsonPrimitive(stored.revision))),
+            "Spec" to stored.spec,
+        ),
+    )
+
+    private suspend fun ApplicationCall.respondJson(body: JsonObject) = respondText(body.toString(), ContentType.Application.Json)
+
+    private fun ApplicationCall.kind(): String = checkNotNull(parameters["kind"]) { "the path names a kind" }
+
+    private fun ApplicationCall.parameter(name: String): String? = request.queryParameters[name]
+
+    private companion object {
+        const val LOOPBACK = "127.0.0.1"
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val WATCH_POLL_MILLIS = 5L
+    }
+}
--- /dev/null
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/ScriptedUpstream.kt
@@ -0,0 +1,135 @@
+package buckthornbay.testkit.platform
+
+import java.io.BufferedInputStream
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** A request as it reached a [ScriptedUpstream]; header names are in lower case. */
+public class ScriptedRequest(
+    public val line: String,
+    public val headers: List<Pair<String, String>>,
+    public val body: ByteArray,
+) {
+    /** Returns the first value of the header [name], or null. */
+    public fun header(name: String): String? = headers.firstOrNull { it.first == name.lowercase() }?.second
+}
+
+/**
+ * The answering side of one connection of a [ScriptedUpstream].
+ *
+ * @property number which request this is at the upstream, from 1.
+ */
+public class ScriptedExchange(public val request: ScriptedRequest, public val number: Int, private val socket: Socket) {
+    /** Writes [text] as it stands. */
+    public fun write(text: String) {
+        socket.getOutputStream().write(text.encodeToByteArray())
+        socket.getOutputStream().flush()
+    }
+
+    /** Answers with [status], the headers every genuine answer has and [more], and [body]. */
+    public fun answer(status: String = "200 OK", body: String = "ok", more: String = "", signed: Boolean = true) {
+        write("HTTP/1.1 $status\r\n${genuineHeaders(signed)}${more}Content-Length: ${body.length}\r\n\r\n$body")
+    }
+
+    /** Returns the headers that every genuine answer to the request has. */
+    public fun genuineHeaders(signed: Boolean = true): String {
+        val seal = if (signed) "X-Buckthornbay-Server-Seal: seal-$number\r\n" else ""
+        return "X-Buckthornbay-Attempt-Id: ${request.header("x-buckthornbay-attempt-id")}\r\n$seal"
+    }
+
+    /** Closes the connection in an orderly way. */
+    public fun close() {
+        socket.close()
+    }
+
+    /** Closes the connection so that the other end sees a reset. */
+    public fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
+    /** Returns whether the other end closed the connection within [millis] milliseconds. */
+    public fun wasClosedWithin(millis: Int): Boolean {
+        socket.soTimeout = millis
+        return try {
+            socket.getInputStream().read() < 0
+        } catch (_: java.net.SocketTimeoutException) {
+            false
+        } catch (_: IOException) {
+            true
+        }
+    }
+}
+
+/** An upstream on loopback that answers each request as [script] says, well or badly. */
+public class ScriptedUpstream(private val script: (ScriptedExchange) -> Unit) : AutoCloseable {
+    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val sockets = CopyOnWriteArrayList<Socket>()
+
+    /** The requests that arrived, oldest first. */
+    public val requests: CopyOnWriteArrayList<ScriptedRequest> = CopyOnWriteArrayList()
+
+    /** Where the upstream listens, as `IP:PORT`. */
+    public val address: String = "127.0.0.1:${listener.localPort}"
+
+    init {
+        thread(isDaemon = true) { acceptAll() }
+    }
+
+    override fun close() {
+        listener.close()
+        sockets.forEach { it.close() }
+    }
+
+    private fun acceptAll() {
+        while (!listener.isClosed) {
+            val socket = try {
+                listener.accept()
+            } catch (_: IOException) {
+                return
+            }
+            sockets += socket
+            thread(isDaemon = true) { serve(socket) }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        try {
+            val input = BufferedInputStream(socket.getInputStream())
+            while (!socket.isClosed) {
+                val request = read(input) ?: return
+                requests += request
+                script(ScriptedExchange(request, requests.size, socket))
+            }
+        } catch (_: IOException) {
+            socket.close()
+        }
+    }
+
+    private fun read(input: BufferedInputStream): ScriptedRequest? {
+        val line = readLine(input) ?: return null
+        val headers = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
+            .map { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+            .toList()
+        val length = headers.firstOrNull { it.first == "content-length" }?.second?.toInt() ?: 0
+        return ScriptedRequest(line, headers, input.readNBytes(length))
+    }
+
+    private fun readLine(input: BufferedInputStream): String? {
+        val line = StringBuilder()
+        while (true) {
+            val byte = input.read()
+            if (byte < 0) return null
+            if (byte == '\n'.code) return line.toString().trimEnd('\r')
+            line.append(byte.toChar())
+        }
+    }
+
+    private companion object {
+        const val BACKLOG = 64
+    }
+}
