Scale an engine's rate by the hosts that share it

Nine hosts' defaults stand for a ninth each; 67 hosts would begin with seven times an engine's rate.

--- a/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
@@ -174,4 +174,19 @@
     public val burstTokens: Double = 6_000.0,
     public val maxUnreadTokens: Double = 30_000.0,
     public val slowdownFreshMillis: Long = 300,
-)
+) {
+    /** Returns these settings for a fleet of [hosts] hosts, which share each engine's rate. */
+    public fun forHosts(hosts: Int): EngineLoadSettings {
+        val part = REFERENCE_HOSTS / hosts.coerceAtLeast(1)
+        return copy(
+            initialTokensPerMilli = initialTokensPerMilli * part,
+            leastTokensPerMilli = leastTokensPerMilli * part,
+            raiseTokensPerMilli = raiseTokensPerMilli * part,
+        )
+    }
+
+    private companion object {
+        /** Hosts for which the rates stand in the defaults. */
+        const val REFERENCE_HOSTS = 9.0
+    }
+}
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -50,7 +50,7 @@
     private val log = DecisionLog(clock)
     private val registry = UpstreamRegistry()
     private val regions = settings.zones.associate { it.name to it.region }
-    private val upstreams = UpstreamTable(registry, { regions[it] }, clock)
+    private val upstreams = UpstreamTable(registry, { regions[it] }, clock) { membership.live().size }
     private val begun = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND)
     private val accounts = WorkspaceAccounts(begun, FleetAccounts(ASKED_FADE_MILLIS), FleetBacklog(begun))
     private val shares = FairShares(accounts.asked)
--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -20,15 +20,19 @@
 import kotlin.test.fail
 
 /** A gateway on loopback with a stand-in of the store and scripted upstreams. */
-internal class GatewayFixture(val store: PlatformStoreServer) : AutoCloseable {
+internal class GatewayFixture(
+    val store: PlatformStoreServer,
+    name: String = "edge-1",
+    seeds: List<String> = emptyList(),
+) : AutoCloseable {
     private val upstreams = ArrayList<ScriptedUpstream>()
     private var version = 0
     private val ports = freePorts(4)
     val settings = GatewaySettings(
-        host = HostId("edge-1"),
+        host = HostId(name),
         region = RegionId("region"),
         zone = ZoneId("zone"),
-        seeds = emptyList(),
+        seeds = seeds,
         listen = ListenSettings(
             callers = "127.0.0.1:${ports[0]}",
             readiness = "127.0.0.1:${ports[1]}",
--- /dev/null
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
@@ -0,0 +1,195 @@
+package buckthornbay.router.gateway
+
+import arrow.fx.coroutines.resourceScope
+import buckthornbay.testkit.platform.PlatformStoreServer
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.json.Json
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** What the store may do wrong, and what the host goes on doing. */
+class StoreContractTest {
+    private fun GatewayFixture.read(id: String = "id") = call(request("/read/x", id))
+
+    private fun GatewayFixture.withoutReadRoute() = manifest { it.replace("/read/", "/lesen/") }
+
+    @Test
+    fun aHostStartsWhenTheStoreComesBack() = GatewayFixture.run(
+        prepare = {
+            manifest()
+            store.faults.busy = true
+        },
+    ) {
+        delay(300)
+        assertEquals(503, read().status)
+        store.faults.busy = false
+        awaitReady()
+    }
+
+    @Test
+    fun aNewVersionIsInForceWithinItsBound() = GatewayFixture.run {
+        upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        withoutReadRoute()
+        GatewayFixture.awaitTrue("the dropped route is gone", limitMillis = 2_500) { read().status == 404 }
+        assertEquals(200, call(request("/lesen/x")).status)
+    }
+
+    @Test
+    fun anUnreadableOrOlderVersionChangesNothing() = GatewayFixture.run {
+        upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        store.put("config", "main", Json.parseToJsonElement("""{"Version":"none"}"""))
+        store.put("config", "main", Json.parseToJsonElement("""{"Version":0,"Routes":[]}"""))
+        delay(300)
+        assertEquals(200, read().status)
+    }
+
+    @Test
+    fun registrationsThatCanNotBeReadNameNoUpstreamAndTheOthersHold() = GatewayFixture.run(
+        prepare = {
+            manifest()
+            listOf(
+                """{"Backend":"plain"}""",
+                """{"Backend":"plain","Address":"nowhere","Zone":"zone","Slots":8,"State":"ready"}""",
+                """{"Backend":7,"Address":"127.0.0.1:1","Zone":"zone","Slots":"many","State":"ready"}""",
+                """{"Backend":"plain","Address":"127.0.0.1:1","Zone":"zone","Slots":8,"State":"asleep"}""",
+                """{"Backend":"unnamed","Address":"127.0.0.1:1","Zone":"zone","Slots":8,"State":"ready"}""",
+                "[]",
+                "null",
+            ).forEachIndexed { index, entry -> store.put("servers", "strange-$index", Json.parseToJsonElement(entry)) }
+        },
+    ) {
+        upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        repeat(20) { assertEquals(200, read("id-$it").status) }
+    }
+
+    @Test
+    fun aDrainingUpstreamGetsNothingNewAndEndsWhatItHas() = GatewayFixture.run {
+        val leaving = upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        assertEquals(200, read().status)
+        register("plain-1", "plain", leaving.address, state = "draining", sequence = 2)
+        val other = upstream("plain-2", "plain") { it.answer() }
+        GatewayFixture.awaitTrue("the other upstream is used", limitMillis = 2_500) {
+            read()
+            other.requests.isNotEmpty()
+        }
+        val before = leaving.requests.size
+        repeat(20) { assertEquals(200, read("after-$it").status) }
+        assertEquals(before, leaving.requests.size)
+    }
+
+    @Test
+    fun changesInAForgottenHistoryAreFoundByListingAgain() = GatewayFixture.run {
+        val upstream = upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        store.faults.silent = true
+        withoutReadRoute()
+        store.remove("servers", "plain-1")
+        store.compact()
+        store.faults.silent = false
+        GatewayFixture.awaitTrue("the change is in force", limitMillis = 4_000) { read().status == 404 }
+        GatewayFixture.awaitTrue("the removed upstream is not used", limitMillis = 4_000) { call(request("/lesen/x")).status == 503 }
+        val before = upstream.requests.size
+        repeat(5) { assertEquals(503, call(request("/lesen/x", "after-$it")).status) }
+        assertEquals(before, upstream.requests.size)
+    }
+
+    @Test
+    fun aSilentWatchIsGivenUpAndRequestsGoOnMeanwhile() = GatewayFixture.run {
+        upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        store.faults.silent = true
+        repeat(10) {
+            assertEquals(200, read("silent-$it").status)
+            delay(100)
+        }
+        store.faults.silent = false
+        withoutReadRoute()
+        GatewayFixture.awaitTrue("the change is in force", limitMillis = 4_000) { read().status == 404 }
+    }
+
+    @Test
+    fun registrationsThatLapseInAnOutageAreUsedUntilTheirGraceIsOver() = GatewayFixture.run {
+        val upstream = upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        assertEquals(200, read().status)
+        store.faults.busy = true
+        delay(2_200)
+        store.remove("servers", "plain-1")
+        store.faults.busy = false
+        delay(1_000)
+        assertEquals(200, read("lapsed").status)
+        register("plain-1", "plain", upstream.address, sequence = 9)
+        delay(2_500)
+        assertEquals(200, read("back").status)
+    }
+
+    @Test
+    fun aHostThatTheStoreDoesNotAnswerLearnsFromItsPeers() = runBlocking {
+        PlatformStoreServer().use { store ->
+            PlatformStoreServer().use { deaf ->
+                deaf.faults.busy = true
+                GatewayFixture(store).use { first ->
+                    first.manifest()
+                    first.upstream("plain-1", "plain") { it.answer() }
+                    GatewayFixture(deaf, "edge-2", seeds = listOf(first.settings.listen.control)).use { second ->
+                        resourceScope {
+                            gatewayProcess(first.settings, GatewayFixture.DEPLOYMENT)
+                            gatewayProcess(second.settings, GatewayFixture.DEPLOYMENT)
+                            second.awaitReady()
+                            assertEquals(200, second.read().status)
+                            first.withoutReadRoute()
+                            GatewayFixture.awaitTrue("the change is in force", limitMillis = 2_500) { second.read().status == 404 }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    @Test
+    fun callersAreToldOfPeersAndNotOfAHostThatStops() = runBlocking {
+        PlatformStoreServer().use { store ->
+            GatewayFixture(store).use { first ->
+                first.manifest()
+                GatewayFixture(store, "edge-2", seeds = listOf(first.settings.listen.control)).use { second ->
+                    resourceScope {
+                        gatewayProcess(first.settings, GatewayFixture.DEPLOYMENT)
+                        val stopping = gatewayProcess(second.settings, GatewayFixture.DEPLOYMENT)
+                        GatewayFixture.awaitTrue("both know each other") { first.addresses().body.count { it == ':' } >= 4 }
+                        stopping.drain()
+                        assertTrue(second.settings.listen.callers !in first.addresses().body)
+                        assertTrue(first.settings.listen.callers in first.addresses().body)
+                    }
+                }
+            }
+        }
+    }
+
+    private fun GatewayFixture.addresses() = caller(settings.listen.addresses).use { caller ->
+        caller.send("GET /v1/resolve?Name=a.example&Region=region&Zone=zone HTTP/1.1\r\nHost: x\r\n\r\n")
+        caller.answer()
+    }
+
+    @Test
+    fun aHostThatStopsAnswersWhatItHasReadAndAsksCallersToLeave() = GatewayFixture.run { process ->
+        upstream("plain-1", "plain") { exchange ->
+            Thread.sleep(800)
+            exchange.answer()
+        }
+        awaitReady()
+        caller().use { caller ->
+            caller.send(request("/charge/x", method = "POST", body = "a"))
+            delay(100)
+            process.drain()
+            val answer = caller.answer()
+            assertEquals(200, answer.status)
+            assertEquals("close", answer.headers["connection"])
+        }
+    }
+}
