Serve callers that can still be served in time before those that come back late

Change: the time that a caller has left tells how long it waited; late requests go last and wait a twentieth of their time. Registrations are gathered for 250 ms and watches wait 8 s, so that calls to the store fall.

--- a/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
@@ -13,11 +13,20 @@
     private val random: UniformRandomProvider,
     private val settings: AdmissionSettings = AdmissionSettings(),
 ) {
-    /** Returns until when a request may wait, in milliseconds. */
-    public fun giveUpAtMillis(route: Route, arrivedAtMillis: Long, deadlineAtMillis: Long): Long {
+    /**
+     * Returns until when a request may wait, in milliseconds.
+     *
+     * One that can't be on time any more may wait longer, because only load that falls can help it.
+     */
+    public fun giveUpAtMillis(route: Route, rank: WaitingRank, arrivedAtMillis: Long, deadlineAtMillis: Long): Long {
         val objectiveMillis = route.objectiveMillis ?: route.timeoutMillis
-        val limitMillis = arrivedAtMillis + (objectiveMillis * settings.waitingPart).toLong()
-        return minOf(limitMillis, deadlineAtMillis - settings.leastServiceMillis)
+        val latestMillis = deadlineAtMillis - settings.leastServiceMillis
+        val limitMillis = if (rank == WaitingRank.LATE) {
+            arrivedAtMillis + ((deadlineAtMillis - arrivedAtMillis) * settings.lateWaitingPart).toLong()
+        } else {
+            arrivedAtMillis + (objectiveMillis * settings.waitingPart).toLong()
+        }
+        return minOf(limitMillis, latestMillis)
     }
 
     /** Returns until when a request may hold out for the upstream that is best for all, in milliseconds. */
@@ -41,6 +50,7 @@
  * Constants of [AdmissionPolicy].
  *
  * @property waitingPart part of a route's objective that may be spent waiting; the rest is for reading the prompt.
+ * @property lateWaitingPart part of its remaining time that a request may wait which is late anyway; the rest is for its answer.
  * @property patientPart part of a route's objective that may be spent waiting for one upstream while others have room.
  * @property leastServiceMillis time that must be left for serving, in milliseconds.
  * @property callerPatience part of its remaining time that a caller spends on waiting for its return, at most.
@@ -48,6 +58,7 @@
  */
 public data class AdmissionSettings(
     public val waitingPart: Double = 0.6,
+    public val lateWaitingPart: Double = 0.05,
     public val patientPart: Double = 0.3,
     public val leastServiceMillis: Long = 100,
     public val callerPatience: Double = 0.3,
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -2,17 +2,29 @@
 
 import buckthornbay.protocol.WorkspaceId
 
+/** Which waiting requests go first, in this order. */
+public enum class WaitingRank {
+    /** The request is within its workspace's share and can still be answered in time. */
+    DUE,
+
+    /** The request can still be answered in time; its workspace asks for more than its share. */
+    BEYOND_SHARE,
+
+    /** The answer will be late anyway. */
+    LATE,
+}
+
 /**
  * A request that waits at this host for room at an upstream.
  *
  * @property workspace whose share it draws on; null on public routes, which share one place.
- * @property withinShare whether the request goes before those of workspaces that ask for more than their share.
+ * @property rank which requests go before others, whatever their workspaces were given.
  * @property giveUpAtMillis when waiting on can't bring an answer in time any more.
  */
 public class Waiting<T>(
     public val id: String,
     public val workspace: WorkspaceId?,
-    public val withinShare: Boolean,
+    public val rank: WaitingRank,
     public val arrivedAtMillis: Long,
     public val giveUpAtMillis: Long,
     public val request: T,
@@ -80,7 +92,7 @@
 
     private fun inOrder(nowMillis: Long): List<Waiting<T>> = byWorkspace.values
         .flatMap { it.take(OFFERED_EACH) }
-        .sortedWith(compareBy({ !it.withinShare }, { recentTokensOf(nowMillis, it) }, { it.arrivedAtMillis }))
+        .sortedWith(compareBy({ it.rank }, { recentTokensOf(nowMillis, it) }, { it.arrivedAtMillis }))
 
     private fun recentTokensOf(nowMillis: Long, waiting: Waiting<T>): Double =
         waiting.workspace?.let { accounts.recentTokens(nowMillis, it) } ?: 0.0
--- a/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
@@ -12,8 +12,8 @@
     private val first = WorkspaceId("first")
     private val second = WorkspaceId("second")
 
-    private fun waiting(id: String, workspace: WorkspaceId, withinShare: Boolean = true, arrivedAtMillis: Long = 0) =
-        Waiting(id, workspace, withinShare, arrivedAtMillis, arrivedAtMillis + 500, id)
+    private fun waiting(id: String, workspace: WorkspaceId, rank: WaitingRank = WaitingRank.DUE, arrivedAtMillis: Long = 0) =
+        Waiting(id, workspace, rank, arrivedAtMillis, arrivedAtMillis + 500, id)
 
     private fun placeAll(): List<String> {
         val order = ArrayList<String>()
@@ -32,7 +32,7 @@
     @Test
     fun requestsWithinTheirShareGoBeforeOthers() {
         accounts.charge(0, first, 10_000.0)
-        queue.add(waiting("beyond", second, withinShare = false))
+        queue.add(waiting("beyond", second, WaitingRank.BEYOND_SHARE))
         queue.add(waiting("within", first))
         assertEquals(listOf("within", "beyond"), placeAll())
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -1,5 +1,6 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.admission.WaitingRank
 import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.routing.RouteMatch
 import buckthornbay.core.routing.RouteTable
@@ -88,7 +89,7 @@
             workspace = match.workspace?.id,
             service = service,
             demand = demand,
-            withinShare = isWithinShare(match.workspace?.id, demand),
+            rank = rankOf(match, waitsMillis, demand),
             arrivedAtMillis = nowMillis,
             callerWaitsUntilMillis = nowMillis + waitsMillis,
             deadlineAtMillis = nowMillis + minOf(waitsMillis, match.route.timeoutMillis),
@@ -100,9 +101,17 @@
         return proxied
     }
 
-    private fun isWithinShare(workspace: WorkspaceId?, demand: TokenDemand?): Boolean {
-        if (workspace == null || demand == null) return true
-        return context.shares.ask(context.clock.nowMillis(), workspace, demand.workTokens)
+    private fun rankOf(match: RouteMatch.Found, waitsMillis: Long, demand: TokenDemand?): WaitingRank {
+        val waitedMillis = context.patience.waitedMillis(match.route.name, waitsMillis)
+        val objectiveMillis = match.route.objectiveMillis ?: Long.MAX_VALUE
+        val workspace = match.workspace?.id
+        if (workspace == null || demand == null) return WaitingRank.DUE
+        val within = context.shares.ask(context.clock.nowMillis(), workspace, demand.workTokens)
+        return when {
+            waitedMillis >= objectiveMillis -> WaitingRank.LATE
+            within -> WaitingRank.DUE
+            else -> WaitingRank.BEYOND_SHARE
+        }
     }
 
     private fun turnAway(
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -36,7 +36,7 @@
 
     fun ended(terms: RequestTerms, times: RequestTimes, reason: String) = line {
         "event=ended id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} state=${times.state} " +
-            "within_share=${terms.withinShare} elapsed_ms=${times.elapsedMillis} first_event_ms=${times.firstEventMillis} " +
+            "rank=${terms.rank} elapsed_ms=${times.elapsedMillis} first_event_ms=${times.firstEventMillis} " +
             "longest_pause_ms=${times.longestPauseMillis} reason=\"$reason\""
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
@@ -5,6 +5,7 @@
 import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.admission.FleetBacklog
 import buckthornbay.core.admission.Waiting
+import buckthornbay.core.admission.WaitingRank
 import buckthornbay.core.load.Placement
 import buckthornbay.core.request.FleetRetryBudget
 import buckthornbay.core.request.RetryAllowance
@@ -34,11 +35,11 @@
     fun submit(request: ProxiedRequest) {
         if (upstreams.usable(request.service).isEmpty()) return request.refuse("no upstream of the service may be used")
         val queue = queueOf(request.service)
-        if (!request.withinShare && queue.sizeOf(request.workspaceId) >= MAX_WAITING_BEYOND_SHARE) {
+        if (request.rank != WaitingRank.DUE && queue.sizeOf(request.workspaceId) >= MAX_WAITING_BEYOND_SHARE) {
             return request.refuse("the workspace asks for more than its share and others of its requests wait")
         }
         val waiting =
-            Waiting(request.id, request.workspaceId, request.withinShare, clock.nowMillis(), request.giveUpAtMillis(), request)
+            Waiting(request.id, request.workspaceId, request.rank, clock.nowMillis(), request.giveUpAtMillis(), request)
         request.waiting = waiting
         queue.add(waiting)
         place(request.service)
@@ -79,7 +80,7 @@
     private fun placeOne(request: ProxiedRequest): Boolean {
         val nowMillis = clock.nowMillis()
         val workspace = request.workspaceId
-        if (!request.withinShare && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
+        if (request.rank != WaitingRank.DUE && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
         val usable = upstreams.usable(request.service)
         val fresh = usable.filterNot { it.entry.id in request.triedUpstreams }.ifEmpty { usable }
         val choice =
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -2,6 +2,7 @@
 
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.AdmissionPolicy
+import buckthornbay.core.admission.CallerPatience
 import buckthornbay.core.admission.FairShares
 import buckthornbay.core.wire.CallerInterface
 import io.netty.buffer.ByteBufAllocator
@@ -16,6 +17,7 @@
     val connections: ConnectionPool,
     val admission: AdmissionPolicy,
     val shares: FairShares,
+    val patience: CallerPatience,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
 ) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -3,6 +3,7 @@
 import arrow.fx.coroutines.ResourceScope
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.AdmissionPolicy
+import buckthornbay.core.admission.CallerPatience
 import buckthornbay.core.admission.FairShares
 import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.admission.FleetBacklog
@@ -75,6 +76,7 @@
         connections,
         AdmissionPolicy(random),
         shares,
+        CallerPatience(),
         log,
         metrics,
     )
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.admission.Waiting
+import buckthornbay.core.admission.WaitingRank
 import buckthornbay.core.load.Choice
 import buckthornbay.core.load.SendOutcome
 import buckthornbay.core.load.TokenDemand
@@ -24,7 +25,7 @@
 /**
  * What a caller asked for, and under which bounds.
  *
- * @property withinShare whether the request is within what its workspace is due.
+ * @property rank which requests it goes before while it waits.
  * @property arrivedAtMillis when the request was read whole, in milliseconds.
  * @property callerWaitsUntilMillis until when the caller waits, in milliseconds.
  * @property deadlineAtMillis when the request must have its whole answer, in milliseconds.
@@ -35,7 +36,7 @@
     val workspace: WorkspaceId?,
     val service: ServiceId,
     val demand: TokenDemand?,
-    val withinShare: Boolean,
+    val rank: WaitingRank,
     val arrivedAtMillis: Long,
     val callerWaitsUntilMillis: Long,
     val deadlineAtMillis: Long,
@@ -80,8 +81,8 @@
     val demand: TokenDemand? get() = terms.demand
     override val mayMove: Boolean get() = route.repeatable
 
-    /** Whether the request is within what its workspace is due. */
-    val withinShare: Boolean = terms.withinShare
+    /** Which requests this one goes before while it waits. */
+    val rank: WaitingRank get() = terms.rank
     val triedUpstreams = LinkedHashSet<UpstreamId>()
 
     /** This request's place in the queue, or null where it does not wait. */
@@ -95,7 +96,8 @@
     }
 
     /** Returns when waiting on can't bring an answer that serves the caller, in milliseconds. */
-    fun giveUpAtMillis(): Long = context.admission.giveUpAtMillis(route, terms.arrivedAtMillis, terms.deadlineAtMillis)
+    fun giveUpAtMillis(): Long = 
+        context.admission.giveUpAtMillis(route, rank, terms.arrivedAtMillis, terms.deadlineAtMillis)
 
     /** Whether the request has time to wait for the upstream that is best for all. */
     fun isPatient(nowMillis: Long): Boolean = nowMillis < context.admission.patientUntilMillis(route, terms.arrivedAtMillis)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -39,6 +39,9 @@
     private interface Target {
         val kind: String
 
+        /** Pause before the watch goes on after a change, in milliseconds. */
+        val gatherMillis: Long
+
         fun listed(snapshot: CollectionSnapshot)
 
         fun changed(changes: CollectionChanges)
@@ -63,6 +66,7 @@
                     answered()
                     target.changed(it)
                     revision = maxOf(known, it.revision)
+                    if (it.changes.isNotEmpty()) delay(target.gatherMillis.milliseconds)
                 }
                 if (changes.isErr) changes.error else null
             }
@@ -101,6 +105,7 @@
 
     private inner class ConfigurationTarget : Target {
         override val kind = format.configurationKind
+        override val gatherMillis = 0L
 
         override fun listed(snapshot: CollectionSnapshot) = snapshot.objects.filter {
             it.name == format.configurationName
@@ -115,6 +120,7 @@
 
     private inner class RegistrationsTarget : Target {
         override val kind = format.registrationsKind
+        override val gatherMillis = GATHER_MILLIS
 
         override fun listed(snapshot: CollectionSnapshot) =
             knowledge.replaceRegistrations(snapshot.objects, snapshot.revision, STORE)
@@ -126,9 +132,13 @@
         const val STORE = "store"
 
         /**
-         * How long a watch waits, in milliseconds; a silent one is noticed a call's time later, within the bound for changes.
+         * How long a watch waits, in milliseconds; every call is paid for. One whose connection fell silent is found by keep-alive
+         * probes within three seconds.
          */
-        const val WATCH_MILLIS = 1_500L
+        const val WATCH_MILLIS = 8_000L
+
+        /** Pause after changes of registrations, in milliseconds, so that many upstreams that start together cost one call. */
+        const val GATHER_MILLIS = 250L
 
         /** First pause after a failed call, in milliseconds; ten times the store's usual time for an answer. */
         const val FIRST_BACKOFF_MILLIS = 40L
