--- a/router/src/main/kotlin/buckthornbay/router/Main.kt
+++ b/router/src/main/kotlin/buckthornbay/router/Main.kt
@@ -3,19 +3,21 @@
 import arrow.fx.coroutines.resourceScope
 import buckthornbay.platform.PlatformFormat
 import buckthornbay.platform.PlatformInterface
+import buckthornbay.platform.PlatformRehearsal
 import buckthornbay.platform.PlatformStore
 import buckthornbay.protocol.TomlProblem
 import buckthornbay.router.gateway.Deployment
+import buckthornbay.router.gateway.Rehearsal
 import buckthornbay.router.gateway.SettingsFile
 import buckthornbay.router.gateway.gatewayProcess
 import buckthornbay.router.gateway.readGatewaySettings
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.ProgramResult
+import com.github.ajalt.clikt.core.UsageError
 import com.github.ajalt.clikt.core.main
 import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
-import com.github.ajalt.clikt.parameters.options.required
 import com.github.ajalt.clikt.parameters.options.versionOption
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.michaelbull.result.getOrElse
@@ -23,14 +25,16 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import sun.misc.Signal
+import java.io.File
 
 /** Runs one router process. */
 public fun main(args: Array<String>): Unit = RouterCommand().main(args)
 
 private class RouterCommand : CliktCommand(name = "buckthornbayd") {
-    private val config by option("--config", help = "The router's settings, a TOML file.")
+    private val configOption by option("--config", help = "The router's settings, a TOML file.")
         .file(mustExist = true, canBeDir = false, mustBeReadable = true)
-        .required()
+    private val rehearse by option("--rehearse", help = "Serve a few requests on loopback and exit; used by the build.").flag()
+    private val config: File get() = configOption ?: throw UsageError("name the settings with --config")
     private val platform by option(
         "--platform",
         help = "Serve the platform's callers and upstreams; the settings are a gateway's.",
@@ -43,7 +47,18 @@
 
     override fun help(context: Context): String = "Runs one router of a buckthornbay fleet."
 
-    override fun run() = if (platform) runGateway() else runRouter()
+    override fun run() = when {
+        rehearse -> runRehearsal()
+        platform -> runGateway()
+        else -> runRouter()
+    }
+
+    private fun runRehearsal() {
+        System.setProperty("logback.configurationFile", "logback-json.xml")
+        val answered = runBlocking { Rehearsal(PLATFORM, PlatformRehearsal).run(REHEARSAL_ROUNDS) }
+        echo("rehearsed: $answered requests were answered", err = true)
+        if (answered == 0) throw ProgramResult(EXIT_REHEARSAL_FAILED)
+    }
 
     private fun runGateway() {
         val settings = readGatewaySettings(config.readText()).getOrElse { stopOn(it) }
@@ -106,6 +121,10 @@
         const val VERSION = "0.1.0"
         const val EXIT_BAD_SETTINGS = 2
         const val EXIT_KILLED = 143
+        const val EXIT_REHEARSAL_FAILED = 1
+
+        /** Rounds of a rehearsal, so that code which runs only now and then is run as well. */
+        const val REHEARSAL_ROUNDS = 50
         val PLATFORM = Deployment(PlatformInterface, PlatformFormat) { transport, address -> PlatformStore(transport, address) }
         const val IDLE_CONNECTION_SECONDS = "5"
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/HostHandlers.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HostHandlers.kt
@@ -10,7 +10,12 @@
 import io.netty.handler.codec.http.QueryStringDecoder
 
 /** A plain answer of the host itself. */
-internal data class HostAnswer(val status: HttpResponseStatus, val body: String, val contentType: String = "application/json")
+internal data class HostAnswer(
+    val status: HttpResponseStatus,
+    val body: String,
+    val contentType: String = "application/json",
+    val headers: Map<String, String> = emptyMap(),
+)
 
 /** Answers questions to the host itself, each at once. */
 internal class HostHandler(private val callerInterface: CallerInterface, private val answer: (ReceivedRequest) -> HostAnswer) :
@@ -31,6 +36,7 @@
         val answer = answer(request)
         request.body.release()
         val headers: HttpHeaders = uncheckedHeaders().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+        answer.headers.forEach { (name, value) -> headers.set(name, value) }
         caller.answer(answer.status, headers, Unpooled.copiedBuffer(answer.body, Charsets.UTF_8))
         return Done
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
@@ -33,6 +33,7 @@
         val body = call.body?.let { Unpooled.copiedBuffer(it, Charsets.UTF_8) } ?: Unpooled.EMPTY_BUFFER
         val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method), call.target, body)
         request.headers().set(HttpHeaderNames.HOST, address)
+        call.headers.forEach { (name, value) -> request.headers().set(name, value) }
         if (call.body != null) {
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json")
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Rehearsal.kt
@@ -0,0 +1,86 @@
+package buckthornbay.router.gateway
+
+import arrow.fx.coroutines.resourceScope
+import buckthornbay.core.wire.RehearsalScript
+import buckthornbay.protocol.HostId
+import buckthornbay.protocol.RegionId
+import buckthornbay.protocol.ZoneId
+import buckthornbay.store.HttpCall
+import buckthornbay.store.SystemClock
+import com.github.michaelbull.result.getOrElse
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.withContext
+import java.net.InetAddress
+import java.net.ServerSocket
+
+/**
+ * Runs a router once against [script] on loopback, so that the virtual machine can record the classes that serving needs.
+ *
+ * A router that starts from that record answers sooner, which counts where all hosts restart at once.
+ */
+internal class Rehearsal(private val deployment: Deployment, private val script: RehearsalScript) {
+    private val addresses = freeAddresses(ADDRESS_COUNT)
+    private val surroundings = addresses.last()
+
+    /** Serves each of the script's requests [rounds] times; returns how many were answered with success. */
+    suspend fun run(rounds: Int): Int = resourceScope {
+        val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+        val listeners = Listeners(group, SystemClock)
+        listeners.listen(surroundings, HostHandler(deployment.callerInterface, ::answer))
+        gatewayProcess(settings(), deployment)
+        val transport = NettyTransport(ConnectionPool(group, SystemClock, PoolSettings()))
+        val answered = withContext(group.next().asCoroutineDispatcher()) { play(transport, rounds) }
+        listeners.close()
+        group.shutdownGracefully()
+        answered
+    }
+
+    private suspend fun play(transport: NettyTransport, rounds: Int): Int {
+        transport.call(addresses[1], HttpCall("GET", deployment.callerInterface.readinessPath), TIMEOUT_MILLIS)
+        transport.call(addresses[3], HttpCall("GET", deployment.callerInterface.addressesPath), TIMEOUT_MILLIS)
+        var answered = 0
+        repeat(rounds) { round ->
+            for (request in script.requests()) {
+                val headers = request.headers.mapValues { (_, value) -> value.replace("rehearsal-", "rehearsal-$round-") }
+                val reply = transport.call(addresses[0], HttpCall("POST", request.target, "{}", headers), TIMEOUT_MILLIS)
+                if (reply.getOrElse { null }?.status == HttpResponseStatus.OK.code()) answered++
+            }
+        }
+        return answered
+    }
+
+    private fun answer(request: ReceivedRequest): HostAnswer {
+        val answer = script.answer(request.target, surroundings) { request.headers[it] }
+        val type = answer.headers["Content-Type"].orEmpty()
+        return HostAnswer(HttpResponseStatus.OK, answer.body, type, answer.headers)
+    }
+
+    private fun settings() = GatewaySettings(
+        host = HostId("rehearsal"),
+        region = RegionId("region"),
+        zone = ZoneId("zone"),
+        listen = ListenSettings(addresses[0], addresses[1], addresses[2], addresses[3]),
+        store = StoreSettings(surroundings),
+        bounds = BoundSettings(
+            graceSeconds = 1.0,
+            retryRatio = 0.2,
+            retryWindowSeconds = 10.0,
+            retrySlack = 10.0,
+            shareWindowSeconds = 4.0,
+        ),
+        zones = listOf(ZoneSettings(ZoneId("zone"), RegionId("region"))),
+    )
+
+    private fun freeAddresses(count: Int): List<String> {
+        val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
+        return sockets.map { "127.0.0.1:${it.localPort}" }.also { sockets.forEach(ServerSocket::close) }
+    }
+
+    private companion object {
+        const val ADDRESS_COUNT = 5
+        const val TIMEOUT_MILLIS = 1_000L
+    }
+}
--- a/store/src/main/kotlin/buckthornbay/store/HttpTransport.kt
+++ b/store/src/main/kotlin/buckthornbay/store/HttpTransport.kt
@@ -3,7 +3,12 @@
 import com.github.michaelbull.result.Result
 
 /** A call of HTTP with a JSON body or none; [target] is path and query. */
-public data class HttpCall(public val method: String, public val target: String, public val body: String? = null)
+public data class HttpCall(
+    public val method: String,
+    public val target: String,
+    public val body: String? = null,
+    public val headers: Map<String, String> = emptyMap(),
+)
 
 /** The answer to an [HttpCall]. */
 public data class HttpReply(public val status: Int, public val body: String)
