Let a few hosts watch the store for a large fleet, and tell peers only what they miss

Change: beyond 12 hosts four watch, chosen by rendezvous hashing; the others learn versions from peers, which announce a change at once and pass on the registrations that are newer than the asker's. A host that hears of no contact with the store for 6 s watches itself.

--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/membership/WatchDutyTest.kt
@@ -0,0 +1,38 @@
+package buckthornbay.core.membership
+
+import buckthornbay.protocol.HostId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class WatchDutyTest {
+    private val fleet = List(70) { HostId("host-$it") }
+
+    private fun duties() = fleet.associateWith { WatchDuty(it).apply { heard(0) } }
+
+    @Test
+    fun aFewHostsWatchForALargeFleet() {
+        assertEquals(WatchDutySettings().watchers, duties().count { (_, duty) -> duty.shouldWatch(1_000, fleet) })
+    }
+
+    @Test
+    fun allHostsOfASmallFleetWatch() {
+        assertTrue(fleet.take(9).all { WatchDuty(it).shouldWatch(0, fleet.take(9)) })
+    }
+
+    /** The fault: the store turns the watching hosts away, or they are cut off, and serves all others. */
+    @Test
+    fun aHostThatHearsOfNoContactWatchesItself() {
+        val duty = duties().values.first { !it.shouldWatch(1_000, fleet) }
+        duty.learned(nowMillis = 2_000, ageMillis = 500)
+        assertTrue(!duty.shouldWatch(7_500, fleet))
+        assertTrue(duty.shouldWatch(7_501, fleet))
+    }
+
+    @Test
+    fun othersTakeOverWhenWatchersDie() {
+        val watching = duties().filter { (_, duty) -> duty.shouldWatch(0, fleet) }.keys
+        val left = fleet - watching
+        assertEquals(WatchDutySettings().watchers, left.count { WatchDuty(it).apply { heard(0) }.shouldWatch(0, left) })
+    }
+}
--- a/core/src/test/kotlin/buckthornbay/core/routing/RouteTableTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/routing/RouteTableTest.kt
@@ -9,12 +9,15 @@
 import kotlin.test.assertTrue
 
 class RouteTableTest {
-    private fun route(prefix: String, public: Boolean = false, targets: List<RouteTarget> = listOf(RouteTarget(ServiceId("s"), 1.0))) =
-        Route(
-            name = prefix, hostName = "a.example", pathPrefix = prefix, kind = RouteKind.IDEMPOTENT, targets = targets,
-            timeoutMillis = 1_000, objectiveMillis = 100, maxAttempts = 2, public = public, prefixAffinity = false,
-            resumable = false, longestPauseMillis = null, priority = 0,
-        )
+    private fun route(
+        prefix: String,
+        public: Boolean = false,
+        targets: List<RouteTarget> = listOf(RouteTarget(ServiceId("s"), 1.0)),
+    ) = Route(
+        name = prefix, hostName = "a.example", pathPrefix = prefix, kind = RouteKind.IDEMPOTENT, targets = targets,
+        timeoutMillis = 1_000, objectiveMillis = 100, maxAttempts = 2, public = public, prefixAffinity = false,
+        resumable = false, longestPauseMillis = null, priority = 0,
+    )
 
     private val split = listOf(RouteTarget(ServiceId("old"), 90.0), RouteTarget(ServiceId("new"), 10.0))
     private val table = RouteTable(
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -283,7 +283,9 @@
         context.executor().execute(handedOver)
     }
 
-    private inner class HandOver(private val request: ReceivedRequest) : CallerWork, Runnable {
+    private inner class HandOver(private val request: ReceivedRequest) :
+        CallerWork,
+        Runnable {
         override fun run() {
             if (work !== this || !context.channel().isActive) return
             val begun = handler.handle(request, this@CallerConnection)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -4,7 +4,6 @@
 import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.routing.RouteMatch
 import buckthornbay.core.routing.RouteTable
-import buckthornbay.protocol.WorkspaceId
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponseStatus
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/FleetKnowledge.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/FleetKnowledge.kt
@@ -35,13 +35,13 @@
     var registryKnown = false
         private set
 
-    private val registrations = LinkedHashMap<String, JsonElement>()
+    private val registrations = RegistrationLog()
 
     val configurationVersion: Long get() = routes?.configuration?.version ?: 0
     val registryRevision: Long get() = registry.revision
 
-    /** The registrations as they were read, for peers. */
-    fun registrations(): Map<String, JsonElement> = registrations.toMap()
+    /** Returns what a peer misses whose registrations are of [revision]. */
+    fun registrationsSince(revision: Long): RegistrationChanges = registrations.since(revision, registry.revision)
 
     /** Takes in a configuration; one that is not newer than what is known changes nothing. */
     fun offerConfiguration(value: JsonElement, source: String) {
@@ -58,8 +58,7 @@
     /** Takes in the whole list of upstreams as of [revision]. */
     fun replaceRegistrations(objects: List<CollectionObject>, revision: Long, source: String) {
         if (registryKnown && revision < registry.revision) return
-        registrations.clear()
-        objects.forEach { registrations[it.name] = it.value }
+        registrations.replaceAll(objects, revision)
         registry.replaceAll(clock.nowMillis(), objects.mapNotNull(::entryOf), revision)
         registryKnown = true
         log.belief("event=upstreams_listed count=${objects.size} revision=$revision source=$source")
@@ -76,14 +75,14 @@
     private fun apply(change: CollectionChange, revision: Long) {
         when (change) {
             is CollectionChange.Put -> {
-                registrations[change.stored.name] = change.stored.value
+                registrations.put(change.stored, revision)
                 val entry = entryOf(change.stored)
                 if (entry == null) return registry.removed(clock.nowMillis(), UpstreamId(change.stored.name), revision)
                 registry.put(entry, revision)
                 log.belief("event=upstream_registered upstream=${entry.id} draining=${entry.draining} revision=$revision")
             }
             is CollectionChange.Removed -> {
-                registrations.remove(change.name)
+                registrations.remove(change.name, revision)
                 registry.removed(clock.nowMillis(), UpstreamId(change.name), revision)
                 log.belief("event=upstream_removed upstream=${change.name} revision=$revision")
             }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -10,6 +10,7 @@
 import buckthornbay.core.load.Placement
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.MembershipSettings
+import buckthornbay.core.membership.WatchDuty
 import buckthornbay.core.registry.UpstreamRegistry
 import buckthornbay.core.wire.CallerInterface
 import buckthornbay.core.wire.FleetFormat
@@ -64,10 +65,12 @@
         random,
         MEMBERSHIP,
     )
+    private val duty = WatchDuty(settings.host)
     private val peers =
-        PeerExchange(membership, accounts, knowledge, transport, clock, log, scope) { context.dispatcher.waitingWorkspaces }
+        PeerExchange(membership, accounts, knowledge, transport, clock, log, duty, scope) { context.dispatcher.waitingWorkspaces }
     private val store = deployment.store(transport, settings.store.address)
-    private val watcher = StoreWatcher(store, deployment.format, knowledge, registry, clock, log, random)
+    private val watcher =
+        StoreWatcher(store, deployment.format, knowledge, registry, StoreContact(duty, clock, log, peers::watches), random)
     private val metrics = GatewayMetrics()
     private val context = GatewayContext(
         clock,
@@ -176,6 +179,7 @@
         shares.tokensPerSecond = knowledge.routes?.configuration?.tokensPerSecond
         upstreams.refresh()
         context.dispatcher.placeAll()
+        peers.announce()
     }
 
     private fun answerHostQuestion(request: ReceivedRequest): HostAnswer = when (request.path) {
@@ -183,7 +187,7 @@
         deployment.callerInterface.addressesPath -> addresses(request)
         METRICS_PATH -> HostAnswer(HttpResponseStatus.OK, metrics.scrape(), "text/plain; version=0.0.4")
         else -> {
-            val reply = peers.answer(request.path, request.body.toString(Charsets.UTF_8))
+            val reply = peers.answer(request.target, request.body.toString(Charsets.UTF_8))
             HostAnswer(HttpResponseStatus.valueOf(reply.status), reply.body)
         }
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -6,6 +6,7 @@
 import buckthornbay.core.membership.HeartbeatOut
 import buckthornbay.core.membership.HostReport
 import buckthornbay.core.membership.Membership
+import buckthornbay.core.membership.WatchDuty
 import buckthornbay.protocol.Heartbeat
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.Member
@@ -17,6 +18,7 @@
 import buckthornbay.store.HttpReply
 import buckthornbay.store.HttpTransport
 import com.github.michaelbull.result.getOrElse
+import io.netty.handler.codec.http.QueryStringDecoder
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -34,6 +36,7 @@
  * @property begun work that the sender began since its start, in tokens by workspace.
  * @property asked work that the sender was asked for since its start, in tokens by workspace.
  * @property waiting workspaces of which something waits at the sender.
+ * @property storeAgeMillis how long ago any host that the sender has news of heard from the store, in milliseconds.
  */
 @Serializable
 internal data class PeerNews(
@@ -42,17 +45,17 @@
     @SerialName("b") val begun: Map<WorkspaceId, Long>,
     @SerialName("a") val asked: Map<WorkspaceId, Long>,
     @SerialName("w") val waiting: Set<WorkspaceId>,
+    @SerialName("s") val storeAgeMillis: Long,
 )
 
 /** Work by workspace on all hosts: what was begun, what was asked for, and who waits. */
 internal class WorkspaceAccounts(val begun: FleetAccounts, val asked: FleetAccounts, val backlog: FleetBacklog)
 
-/** All that a host knows from the store, for a peer that the store does not answer. */
+/** What a host knows from the store and the peer that asks does not. */
 @Serializable
 internal data class PeerSnapshot(
     @SerialName("c") val configuration: JsonElement?,
-    @SerialName("r") val registryRevision: Long,
-    @SerialName("u") val registrations: Map<String, JsonElement>,
+    @SerialName("u") val registrations: RegistrationChanges?,
 )
 
 /** Exchanges news with peers: who is alive, how far each is with configuration and registrations, and what was served. */
@@ -63,10 +66,10 @@
     private val transport: HttpTransport,
     private val clock: Clock,
     private val log: DecisionLog,
+    private val duty: WatchDuty,
     private val scope: CoroutineScope,
     private val waiting: () -> Set<WorkspaceId>,
 ) {
-    private val registryRevisions = HashMap<String, Long>()
     private var fetching = false
     private var membersSeen = emptySet<Member>()
 
@@ -82,18 +85,18 @@
     /** Tells a few peers at once that this host leaves. */
     fun announceLeaving() {
         membership.leave()
-        membership.announce(report()).forEach(::send)
+        announce()
     }
 
     /** Answers what a peer sent to [target]. */
-    fun answer(target: String, body: String): HttpReply = when (target) {
+    fun answer(target: String, body: String): HttpReply = when (target.substringBefore('?')) {
         NEWS -> try {
             HttpReply(OK, receive(WireJson.decodeFromString(PeerNews.serializer(), body)))
         } catch (e: SerializationException) {
             log.warning("event=peer_unreadable reason=\"${e.message}\"")
             HttpReply(BAD_REQUEST, "")
         }
-        SNAPSHOT -> HttpReply(OK, WireJson.encodeToString(PeerSnapshot.serializer(), snapshot()))
+        SNAPSHOT -> HttpReply(OK, WireJson.encodeToString(PeerSnapshot.serializer(), snapshotFor(target)))
         else -> HttpReply(NOT_FOUND, "")
     }
 
@@ -125,7 +128,7 @@
         accounts.begun.receive(nowMillis, sender.host, sender.incarnation, news.begun.toTokens())
         accounts.asked.receive(nowMillis, sender.host, sender.incarnation, news.asked.toTokens())
         accounts.backlog.receive(nowMillis, sender.host, news.waiting)
-        registryRevisions[sender.url] = news.registryRevision
+        duty.learned(nowMillis, news.storeAgeMillis)
         catchUp(sender.url, news)
         val reply = membership.receive(nowMillis, news.heartbeat, report()) ?: return ""
         return WireJson.encodeToString(PeerNews.serializer(), news(reply.heartbeat))
@@ -138,7 +141,7 @@
         if (fetching || (!newerConfiguration && !newerRegistrations)) return
         fetching = true
         scope.launch {
-            delay(STORE_HEAD_START_MILLIS.milliseconds)
+            if (watches()) delay(STORE_HEAD_START_MILLIS.milliseconds)
             val behind = news.heartbeat.stateVersion > knowledge.configurationVersion ||
                 news.registryRevision > knowledge.registryRevision
             if (behind) fetch(url)
@@ -147,20 +150,49 @@
     }
 
     private suspend fun fetch(url: String) {
-        val reply = transport.call(url, HttpCall("GET", SNAPSHOT), CALL_TIMEOUT_MILLIS).getOrElse { return }
+        val target = "$SNAPSHOT?$VERSION=${knowledge.configurationVersion}&$REVISION=${knowledge.registryRevision}"
+        val reply = transport.call(url, HttpCall("GET", target), CALL_TIMEOUT_MILLIS).getOrElse { return }
         val snapshot = try {
             WireJson.decodeFromString(PeerSnapshot.serializer(), reply.body)
         } catch (e: SerializationException) {
             return log.warning("event=peer_unreadable peer=$url reason=\"${e.message}\"")
         }
         snapshot.configuration?.let { knowledge.offerConfiguration(it, url) }
-        if (snapshot.registryRevision > knowledge.registryRevision) {
-            val objects = snapshot.registrations.map { (name, value) -> CollectionObject(name, value) }
-            knowledge.replaceRegistrations(objects, snapshot.registryRevision, url)
+        snapshot.registrations?.let { takeIn(it, url) }
+    }
+
+    private fun takeIn(changes: RegistrationChanges, url: String) {
+        if (changes.revision <= knowledge.registryRevision) return
+        if (changes.whole) {
+            knowledge.replaceRegistrations(
+                changes.put.map { (name, value) ->
+                    CollectionObject(name, value)
+                },
+                changes.revision,
+                url,
+            )
+        } else {
+            knowledge.applyRegistrations(changes.asChanges(), changes.revision)
         }
     }
 
-    private fun snapshot() = PeerSnapshot(knowledge.configuration, knowledge.registryRevision, knowledge.registrations())
+    private fun snapshotFor(target: String): PeerSnapshot {
+        val query = QueryStringDecoder(target).parameters()
+        val version = query[VERSION]?.firstOrNull()?.toLongOrNull() ?: 0
+        val revision = query[REVISION]?.firstOrNull()?.toLongOrNull() ?: 0
+        return PeerSnapshot(
+            knowledge.configuration.takeIf { knowledge.configurationVersion > version },
+            if (knowledge.registryRevision > revision) knowledge.registrationsSince(revision) else null,
+        )
+    }
+
+    /** Whether this host watches the store itself now. */
+    fun watches(): Boolean = duty.shouldWatch(clock.nowMillis(), membership.live().map { it.host })
+
+    /** Tells a few peers at once that this host knows something new. */
+    fun announce() {
+        membership.announce(report()).forEach(::send)
+    }
 
     private fun news(heartbeat: Heartbeat) = PeerNews(
         heartbeat,
@@ -168,6 +200,7 @@
         accounts.begun.totals().rounded(),
         accounts.asked.totals().rounded(),
         waiting(),
+        duty.ageMillis(clock.nowMillis()),
     )
 
     private fun report() = HostReport(knowledge.configurationVersion, loadPermille = 0)
@@ -194,6 +227,8 @@
     private companion object {
         const val NEWS = "/v1/peers/news"
         const val SNAPSHOT = "/v1/peers/snapshot"
+        const val VERSION = "configuration"
+        const val REVISION = "registrations"
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -96,8 +96,7 @@
     }
 
     /** Returns when waiting on can't bring an answer that serves the caller, in milliseconds. */
-    fun giveUpAtMillis(): Long = 
-        context.admission.giveUpAtMillis(route, rank, terms.arrivedAtMillis, terms.deadlineAtMillis)
+    fun giveUpAtMillis(): Long = context.admission.giveUpAtMillis(route, rank, terms.arrivedAtMillis, terms.deadlineAtMillis)
 
     /** Whether the request has time to wait for the upstream that is best for all. */
     fun isPatient(nowMillis: Long): Boolean = nowMillis < context.admission.patientUntilMillis(route, terms.arrivedAtMillis)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
+import buckthornbay.core.membership.WatchDuty
 import buckthornbay.core.registry.UpstreamRegistry
 import buckthornbay.core.wire.FleetFormat
 import buckthornbay.store.CollectionChange
@@ -15,22 +16,52 @@
 import org.apache.commons.rng.UniformRandomProvider
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Keeps [knowledge] in step with the store by one watch for the configuration and one for the registrations. */
+/** What this host knows of the store's state, and whether it is to watch. */
+internal class StoreContact(
+    private val duty: WatchDuty,
+    private val clock: Clock,
+    private val log: DecisionLog,
+    val watches: () -> Boolean,
+) {
+    private var lost = false
+
+    /** The store answered; returns the time of that, in milliseconds. */
+    fun answered(): Long {
+        val nowMillis = clock.nowMillis()
+        duty.heard(nowMillis)
+        if (lost) log.belief("event=store_regained")
+        lost = false
+        return nowMillis
+    }
+
+    /** Peers that reach the store watch for this host; returns the time, in milliseconds. */
+    fun leftToPeers(): Long {
+        lost = false
+        return clock.nowMillis()
+    }
+
+    /** A call of [kind] failed because of [error]. */
+    fun failed(kind: String, error: StoreError) {
+        if (!lost) log.warning("event=store_lost kind=$kind reason=\"$error\"")
+        lost = true
+    }
+
+    /** The store forgot the history after [revision]. */
+    fun historyGone(kind: String, revision: Long?) = log.belief("event=store_history_gone kind=$kind revision=$revision")
+}
+
+/**
+ * Keeps [knowledge] in step with the store by one watch for the configuration and one for the registrations, while it is this host's
+ * duty to watch.
+ */
 internal class StoreWatcher(
     private val store: ObjectCollections,
     private val format: FleetFormat,
     private val knowledge: FleetKnowledge,
     private val registry: UpstreamRegistry,
-    private val clock: Clock,
-    private val log: DecisionLog,
+    private val contact: StoreContact,
     private val random: UniformRandomProvider,
 ) {
-    private var lost = false
-
-    /** When the store last answered, in milliseconds. */
-    var heardAtMillis: Long = clock.nowMillis()
-        private set
-
     fun start(scope: CoroutineScope) {
         scope.launch { follow(ConfigurationTarget()) }
         scope.launch { follow(RegistrationsTarget()) }
@@ -39,6 +70,9 @@
     private interface Target {
         val kind: String
 
+        /** Whether this host knows anything of that kind. */
+        val isKnown: Boolean
+
         /** Pause before the watch goes on after a change, in milliseconds. */
         val gatherMillis: Long
 
@@ -51,6 +85,12 @@
         var failures = 0
         var revision: Long? = null
         while (true) {
+            if (target.isKnown && !contact.watches()) {
+                revision = null
+                registry.storeRegained(contact.leftToPeers())
+                delay(OFF_DUTY_MILLIS.milliseconds)
+                continue
+            }
             val known = revision
             val error = if (known == null) {
                 val snapshot = store.list(target.kind)
@@ -75,7 +115,7 @@
                 continue
             }
             if (error == StoreError.HistoryGone) {
-                log.belief("event=store_history_gone kind=${target.kind} revision=$known")
+                contact.historyGone(target.kind, known)
                 revision = null
                 continue
             }
@@ -85,17 +125,11 @@
         }
     }
 
-    private fun answered() {
-        heardAtMillis = clock.nowMillis()
-        registry.storeRegained(heardAtMillis)
-        if (lost) log.belief("event=store_regained")
-        lost = false
-    }
+    private fun answered() = registry.storeRegained(contact.answered())
 
     private fun failed(kind: String, error: StoreError) {
         registry.storeLost()
-        if (!lost) log.warning("event=store_lost kind=$kind reason=\"$error\"")
-        lost = true
+        contact.failed(kind, error)
     }
 
     private fun backoffMillis(failures: Int): Long {
@@ -105,6 +139,7 @@
 
     private inner class ConfigurationTarget : Target {
         override val kind = format.configurationKind
+        override val isKnown: Boolean get() = knowledge.configurationVersion > 0
         override val gatherMillis = 0L
 
         override fun listed(snapshot: CollectionSnapshot) = snapshot.objects.filter {
@@ -120,6 +155,7 @@
 
     private inner class RegistrationsTarget : Target {
         override val kind = format.registrationsKind
+        override val isKnown: Boolean get() = knowledge.registryKnown
         override val gatherMillis = GATHER_MILLIS
 
         override fun listed(snapshot: CollectionSnapshot) =
@@ -140,6 +176,9 @@
         /** Pause after changes of registrations, in milliseconds, so that many upstreams that start together cost one call. */
         const val GATHER_MILLIS = 250L
 
+        /** How often a host that does not watch asks whether it should, in milliseconds; the bound for changes is ten times that. */
+        const val OFF_DUTY_MILLIS = 250L
+
         /** First pause after a failed call, in milliseconds; ten times the store's usual time for an answer. */
         const val FIRST_BACKOFF_MILLIS = 40L
         const val MAX_DOUBLINGS = 5
--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -21,11 +21,8 @@
 import kotlin.test.fail
 
 /** A gateway on loopback with a stand-in of the store and scripted upstreams. */
-internal class GatewayFixture(
-    val store: PlatformStoreServer,
-    name: String = "edge-1",
-    seeds: List<String> = emptyList(),
-) : AutoCloseable {
+internal class GatewayFixture(val store: PlatformStoreServer, name: String = "edge-1", seeds: List<String> = emptyList()) :
+    AutoCloseable {
     private val upstreams = ArrayList<ScriptedUpstream>()
     private var version = 0
     private val ports = freePorts(4)
@@ -107,7 +104,10 @@
 
         val DEPLOYMENT = deployment(PlatformInterface)
 
-        private fun deployment(callerInterface: CallerInterface) = Deployment(callerInterface, PlatformFormat) { transport, address ->
+        private fun deployment(callerInterface: CallerInterface) = Deployment(callerInterface, PlatformFormat) {
+                transport,
+                address,
+            ->
             PlatformStore(transport, address, callTimeoutMillis = 300)
         }
 
--- a/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
@@ -98,7 +98,10 @@
         store.compact()
         store.faults.silent = false
         GatewayFixture.awaitTrue("the change is in force", limitMillis = AFTER_OUTAGE_MILLIS) { read().status == 404 }
-        GatewayFixture.awaitTrue("the removed upstream is not used", limitMillis = AFTER_OUTAGE_MILLIS) { call(request("/lesen/x")).status == 503 }
+        GatewayFixture.awaitTrue("the removed upstream is not used", limitMillis = AFTER_OUTAGE_MILLIS) {
+            call(request("/lesen/x")).status ==
+                503
+        }
         val before = upstream.requests.size
         repeat(5) { assertEquals(503, call(request("/lesen/x", "after-$it")).status) }
         assertEquals(before, upstream.requests.size)
@@ -149,7 +152,9 @@
                             second.awaitReady()
                             assertEquals(200, second.read().status)
                             first.withoutReadRoute()
-                            GatewayFixture.awaitTrue("the change is in force", limitMillis = 2_500) { second.read().status == 404 }
+                            GatewayFixture.awaitTrue("the change is in force", limitMillis = 2_500) {
+                                second.read().status == 404
+                            }
                         }
                     }
                 }
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
@@ -44,7 +44,9 @@
         },
         Row("a success without signature", charge = 502 to 1) { it.answer(signed = false) },
         Row("an encoded body", charge = 502 to 1) { it.answer(more = "Content-Encoding: gzip\r\n") },
-        Row("not run", charge = 200 to 2) { it.answer("503 Service Unavailable", more = "X-Buckthornbay-Not-Run: 1\r\n", signed = false) },
+        Row("not run", charge = 200 to 2) {
+            it.answer("503 Service Unavailable", more = "X-Buckthornbay-Not-Run: 1\r\n", signed = false)
+        },
         Row("another upstream", charge = 200 to 2) { it.answer("421 Misdirected Request", signed = false) },
         Row("503 without saying not run", charge = 502 to 1) { it.answer("503 Service Unavailable") },
         Row("429 without saying not run", charge = 502 to 1, read = 429 to 1) { it.answer("429 Too Many Requests") },
@@ -55,7 +57,9 @@
             it.answer()
         },
         Row("another request's answer first", charge = 200 to 1, read = 200 to 1) {
-            it.write("HTTP/1.1 200 OK\r\nX-Buckthornbay-Attempt-Id: other\r\nX-Buckthornbay-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong")
+            it.write(
+                "HTTP/1.1 200 OK\r\nX-Buckthornbay-Attempt-Id: other\r\nX-Buckthornbay-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong",
+            )
             it.answer()
         },
         Row("no length and an orderly end", charge = 200 to 1, read = 200 to 1) {
@@ -125,7 +129,12 @@
         val answer = call(request("/stream/x", method = "POST", body = "a"))
         assertTrue(answer.whole)
         assertEquals((1..6).joinToString("") { "id: $it\ndata: $it\n\n" }, answer.body)
-        assertEquals(listOf(null, "3"), upstreams.flatMap { it.requests }.map { it.header("Last-Event-Id") }.sortedBy { it ?: "" })
+        assertEquals(
+            listOf(null, "3"),
+            upstreams.flatMap {
+                it.requests
+            }.map { it.header("Last-Event-Id") }.sortedBy { it ?: "" },
+        )
     }
 
     @Test
