--- a/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
@@ -50,7 +50,8 @@
  * Constants of [AdmissionPolicy].
  *
  * @property waitingPart part of a route's objective that may be spent waiting; the rest is for reading the prompt.
- * @property lateWaitingPart part of its remaining time that a request may wait which is late anyway; the rest is for its answer.
+ * @property lateWaitingPart part of its remaining time that a request may wait which is late anyway; the rest is for its
+ * answer.
  * @property patientPart part of a route's objective that may be spent waiting for one upstream while others have room.
  * @property leastServiceMillis time that must be left for serving, in milliseconds.
  * @property callerPatience part of its remaining time that a caller spends on waiting for its return, at most.
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -35,12 +35,15 @@
         return true
     }
 
-    /** Returns the most tokens a second that a workspace is due now; no limit while all can have what they ask for. */
-    public fun levelTokensPerSecond(nowMillis: Long): Double {
+    /** Returns the most tokens a second that a workspace is due now; null while all can have what they ask for. */
+    public fun shareTokensPerSecond(nowMillis: Long): Double? {
         refreshLevel(nowMillis)
-        return level
+        return level.takeIf { it < Double.MAX_VALUE }
     }
 
+    /** Returns what [workspace] asks for on all hosts, in tokens a second. */
+    public fun askedTokensPerSecond(nowMillis: Long, workspace: WorkspaceId): Double = asked.tokensPerSecond(nowMillis, workspace)
+
     private fun refill(nowMillis: Long, workspace: WorkspaceId): Bucket {
         val rate = level * asked.ownPart(nowMillis, workspace)
         val capacity = rate * settings.burstSeconds
@@ -88,7 +91,8 @@
  *
  * @property usedPart part of the engines' throughput that is shared out.
  * @property burstSeconds time for which a workspace's unused share is kept, in seconds; shares are counted over four.
- * @property firstBurst part of that which a workspace has when it begins to ask for more than its share; it had most of it before.
+ * @property firstBurst part of that which a workspace has when it begins to ask for more than its share; it had most of it
+ * before.
  * @property levelMillis least time between two divisions, in milliseconds; news from peers take longer.
  */
 public data class FairShareSettings(
--- a/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
@@ -16,6 +16,9 @@
 
     private class RemoteTotals(val incarnation: Long, val totals: Map<WorkspaceId, Double>)
 
+    private class Held(val recent: Map<WorkspaceId, Double>, val asOfMillis: Long)
+
+    private val held = LinkedHashMap<String, Held>()
     private val fleet = HashMap<WorkspaceId, Recent>()
     private val own = HashMap<WorkspaceId, Recent>()
     private val ownTotals = HashMap<WorkspaceId, Double>()
@@ -51,8 +54,29 @@
         remote.remove(host)
     }
 
+    /**
+     * Takes in that the recent work at [source], a host or a group of hosts, is [recent] tokens by workspace.
+     *
+     * It replaces what the source said before, and is dropped when nothing more comes from it.
+     */
+    public fun hold(nowMillis: Long, source: String, recent: Map<WorkspaceId, Double>) {
+        held[source] = Held(recent, nowMillis)
+        recent.keys.forEach { fleet.getOrPut(it) { Recent(0.0, nowMillis) } }
+        held.values.removeIf { nowMillis - it.asOfMillis > HELD_MILLIS }
+    }
+
+    /** Returns what [source] said last; empty where that does not count any more. */
+    public fun heldOf(nowMillis: Long, source: String): Map<WorkspaceId, Double> =
+        held[source]?.takeIf { nowMillis - it.asOfMillis <= HELD_MILLIS }?.recent.orEmpty()
+
+    /** Returns the recent work of all workspaces on this host and at those of the held sources that [include] names. */
+    public fun recentOf(nowMillis: Long, include: (String) -> Boolean): Map<WorkspaceId, Double> = fleet.keys
+        .associateWith { workspace -> own.recent(nowMillis, workspace) + heldTokens(nowMillis, workspace, include) }
+        .filterValues { it >= 1.0 }
+
     /** Returns the recent work of [workspace] on all hosts, in tokens. */
-    public fun recentTokens(nowMillis: Long, workspace: WorkspaceId): Double = fleet.recent(nowMillis, workspace)
+    public fun recentTokens(nowMillis: Long, workspace: WorkspaceId): Double =
+        fleet.recent(nowMillis, workspace) + heldTokens(nowMillis, workspace) { true }
 
     /** Returns the recent work of [workspace] on all hosts, in tokens a second. */
     public fun tokensPerSecond(nowMillis: Long, workspace: WorkspaceId): Double =
@@ -60,10 +84,16 @@
 
     /** Returns which part of the recent work of [workspace] was on this host, from 0 to 1. */
     public fun ownPart(nowMillis: Long, workspace: WorkspaceId): Double {
-        val all = fleet.recent(nowMillis, workspace)
+        val all = recentTokens(nowMillis, workspace)
         return if (all <= 0) 1.0 else (own.recent(nowMillis, workspace) / all).coerceIn(0.0, 1.0)
     }
 
+    private fun heldTokens(nowMillis: Long, workspace: WorkspaceId, include: (String) -> Boolean): Double =
+        held.entries.sumOf { (source, entry) ->
+            val counts = nowMillis - entry.asOfMillis <= HELD_MILLIS && include(source)
+            if (counts) entry.recent[workspace] ?: 0.0 else 0.0
+        }
+
     private fun HashMap<WorkspaceId, Recent>.recent(nowMillis: Long, workspace: WorkspaceId): Double {
         val entry = this[workspace] ?: return 0.0
         return entry.tokens * exp(-(nowMillis - entry.asOfMillis) / fadeMillis)
@@ -71,11 +101,14 @@
 
     private fun HashMap<WorkspaceId, Recent>.add(nowMillis: Long, workspace: WorkspaceId, tokens: Double) {
         val entry = getOrPut(workspace) { Recent(0.0, nowMillis) }
-        entry.tokens = recent(nowMillis, workspace) + tokens
+        entry.tokens = this.recent(nowMillis, workspace) + tokens
         entry.asOfMillis = nowMillis
     }
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
+
+        /** How long what a source said counts, in milliseconds: several exchanges, one of which may be lost. */
+        const val HELD_MILLIS = 2_000L
     }
 }
--- a/core/src/main/kotlin/buckthornbay/core/admission/FleetBacklog.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FleetBacklog.kt
@@ -19,6 +19,14 @@
         reports[host] = Report(workspaces, nowMillis)
     }
 
+    /** Returns the workspaces that wait at [host]. */
+    public fun waitingAt(nowMillis: Long, host: HostId): Set<WorkspaceId> = waitingWhere(nowMillis) { it == host }
+
+    /** Returns the workspaces that wait at the hosts that [include] names. */
+    public fun waitingWhere(nowMillis: Long, include: (HostId) -> Boolean): Set<WorkspaceId> = reports
+        .filter { (host, report) -> include(host) && nowMillis - report.asOfMillis <= settings.freshMillis }
+        .values.flatMap { it.workspaces }.toSet()
+
     /** Returns whether [workspace] should leave room for one that waits on another host and was given clearly less. */
     public fun shouldYield(nowMillis: Long, workspace: WorkspaceId): Boolean {
         val own = begun.recentTokens(nowMillis, workspace)
--- a/core/src/main/kotlin/buckthornbay/core/config/StateCheck.kt
+++ b/core/src/main/kotlin/buckthornbay/core/config/StateCheck.kt
@@ -13,6 +13,10 @@
 /** The largest desired state that the platform's service holds as one value, in bytes. */
 public const val MAX_STATE_BYTES: Int = 1_000_000
 
+private const val EMPTY_STATE =
+    "the file names no workspace, service or upstream and would take the whole fleet out of service; " +
+        "say --allow-empty if that is meant"
+
 /**
  * A rule of the desired state that an entry breaks.
  *
@@ -28,20 +32,27 @@
     public val message: String,
 )
 
-/** Reads a desired state from TOML and returns either it or all its problems, each with its line. */
-public fun readDesiredState(text: String): Result<DesiredState, List<TomlProblem>> {
+/**
+ * Reads a desired state from TOML and returns either it or all its problems, each with its line.
+ *
+ * A state without any workspace, service and upstream would take the whole fleet out of service, so it is a problem unless
+ * [emptyAllowed] says that it is meant.
+ */
+public fun readDesiredState(text: String, emptyAllowed: Boolean = false): Result<DesiredState, List<TomlProblem>> {
     val sizeBytes = text.encodeToByteArray().size
     if (sizeBytes > MAX_STATE_BYTES) {
         return Err(listOf(TomlProblem(0, "the file has $sizeBytes bytes; the platform holds $MAX_STATE_BYTES at most")))
     }
     val document: TomlDocument<DesiredState> = readToml(DesiredState.serializer(), text).getOrElse { return Err(it) }
-    val problems = checkDesiredState(document.value)
-    if (problems.isNotEmpty()) {
-        return Err(problems.map { TomlProblem(document.lineOf(it.array, it.index, it.field), it.message) }.sortedBy { it.line })
+    val empty = listOf(TomlProblem(0, EMPTY_STATE)).takeIf { !emptyAllowed && document.value.isEmpty() }.orEmpty()
+    val problems = checkDesiredState(document.value).map {
+        TomlProblem(document.lineOf(it.array, it.index, it.field), it.message)
     }
-    return Ok(document.value)
+    return if (problems.isEmpty() && empty.isEmpty()) Ok(document.value) else Err((problems + empty).sortedBy { it.line })
 }
 
+private fun DesiredState.isEmpty(): Boolean = workspaces.isEmpty() && services.isEmpty() && upstreams.isEmpty()
+
 /** Checks references, names and ranges of [state] and returns every problem; none means that it can be applied. */
 public fun checkDesiredState(state: DesiredState): List<StateProblem> = StateCheck(state).run()
 
--- a/core/src/main/kotlin/buckthornbay/core/membership/WatchDuty.kt
+++ b/core/src/main/kotlin/buckthornbay/core/membership/WatchDuty.kt
@@ -5,9 +5,9 @@
 /**
  * Decides whether this host watches the store itself or learns from peers that do.
  *
- * It answers fleets whose store is paid by the call: a few hosts watch, whatever the fleet's size. Where none of them has heard
- * from the store lately, as far as the news that reach this host tell, it watches itself, so that a fault of the chosen ones or a
- * partition from them costs a moment and not the configuration.
+ * It answers fleets whose store is paid by the call: a few hosts watch, whatever the fleet's size. Where none of them has
+ * heard from the store lately, as far as the news that reach this host tell, it watches itself, so that a fault of the chosen
+ * ones or a partition from them costs a moment and not the configuration.
  */
 public class WatchDuty(private val self: HostId, private val settings: WatchDutySettings = WatchDutySettings()) {
     private var storeHeardAtMillis = Long.MIN_VALUE / 2
@@ -41,8 +41,8 @@
  *
  * @property smallFleet hosts up to which all watch; their calls cost less than the detour of the news.
  * @property watchers hosts that watch in a larger fleet; two may fail at once.
- * @property staleMillis age of the last contact beyond which a host watches itself, in milliseconds: a watch of four seconds that
- * waits in vain, and the news of it.
+ * @property staleMillis age of the last contact beyond which a host watches itself, in milliseconds: a watch of four seconds
+ * that waits in vain, and the news of it.
  * @property longestAgeMillis most that is told as an age, in milliseconds.
  */
 public data class WatchDutySettings(
--- a/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
@@ -130,8 +130,8 @@
 
     public companion object {
         /**
-         * How long an upstream stays usable that vanished without a word, in milliseconds: it serves for longer than that, and a
-         * registration that lapsed in an outage which no call of this host met may be back by then.
+         * How long an upstream stays usable that vanished without a word, in milliseconds: it serves for longer than that,
+         * and a registration that lapsed in an outage which no call of this host met may be back by then.
          */
         public const val GRACE_MILLIS: Long = 1_500
 
--- a/core/src/main/kotlin/buckthornbay/core/wire/RehearsalScript.kt
+++ b/core/src/main/kotlin/buckthornbay/core/wire/RehearsalScript.kt
@@ -10,7 +10,10 @@
 /** A caller's request in a rehearsal; [target] is path and query. */
 public data class RehearsedRequest(public val target: String, public val headers: Map<String, String>)
 
-/** Plays a deployment's store, upstreams and callers in a few fixed messages, so that a router can be run through once when it is built. */
+/**
+ * Plays a deployment's store, upstreams and callers in a few fixed messages, so that a router can be run through once when it
+ * is built.
+ */
 public interface RehearsalScript {
     /** Answers [target], which the router asked of the store or sent to an upstream; [header] reads the request's headers. */
     public fun answer(target: String, address: String, header: (String) -> String?): RehearsedAnswer
--- a/core/src/test/kotlin/buckthornbay/core/config/StateCheckTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/config/StateCheckTest.kt
@@ -90,4 +90,11 @@
         assertEquals(5, adoption.version)
         assertFalse(adoption.shouldFetch(nowMillis = 0, announcedVersion = 5))
     }
+
+    @Test
+    fun anEmptyStateIsRefusedUnlessItIsMeant() {
+        val problem = assertNotNull(readDesiredState("").getError()).single()
+        assertTrue("--allow-empty" in problem.message)
+        assertEquals(DesiredState(), readDesiredState("", emptyAllowed = true).get())
+    }
 }
--- a/operator/src/main/kotlin/buckthornbay/operator/OperatorContext.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/OperatorContext.kt
@@ -72,8 +72,8 @@
 }
 
 /** Reads a desired state from [file] or ends the command with all its problems. */
-internal fun CliktCommand.readStateFile(file: File): DesiredState =
-    readDesiredState(file.readText()).getOrElse { failFile(file, it) }
+internal fun CliktCommand.readStateFile(file: File, emptyAllowed: Boolean = false): DesiredState =
+    readDesiredState(file.readText(), emptyAllowed).getOrElse { failFile(file, it) }
 
 /** Ends the command because [file] has [problems]. */
 internal fun CliktCommand.failFile(file: File, problems: List<TomlProblem>): Nothing {
--- a/operator/src/main/kotlin/buckthornbay/operator/StateCommands.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/StateCommands.kt
@@ -7,6 +7,7 @@
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.parameters.arguments.argument
 import com.github.ajalt.clikt.parameters.groups.provideDelegate
+import com.github.ajalt.clikt.parameters.options.flag
 import com.github.ajalt.clikt.parameters.options.option
 import com.github.ajalt.clikt.parameters.types.file
 import com.github.ajalt.clikt.parameters.types.long
@@ -14,13 +15,18 @@
 import kotlinx.coroutines.runBlocking
 import java.util.UUID
 
+private fun CliktCommand.allowEmptyOption() =
+    option("--allow-empty", help = "Accept a state without any workspace, service and upstream.").flag()
+
 internal class ValidateCommand : CliktCommand(name = "validate") {
     private val file by argument(help = "The desired state, a TOML file.").file(mustExist = true, canBeDir = false)
 
+    private val allowEmpty by allowEmptyOption()
+
     override fun help(context: Context): String = "Checks a desired state and prints all that is wrong with it."
 
     override fun run() {
-        val state = readStateFile(file)
+        val state = readStateFile(file, allowEmpty)
         val counts = "${state.workspaces.size} workspaces, ${state.services.size} services, ${state.upstreams.size} upstreams"
         echo("${file.path}: valid; $counts")
     }
@@ -46,6 +52,7 @@
 internal class ApplyCommand : CliktCommand(name = "apply") {
     private val settings by SettingsOption()
     private val file by argument(help = "The desired state, a TOML file.").file(mustExist = true, canBeDir = false)
+    private val allowEmpty by allowEmptyOption()
     private val expect by option("--expect", help = "Apply only if this version is in force, as diff printed it.").long()
 
     override fun help(context: Context): String = "Puts a whole desired state in force, unless another operator was faster."
@@ -55,7 +62,7 @@
     }
 
     private suspend fun apply(context: OperatorContext) {
-        val wanted = readStateFile(file)
+        val wanted = readStateFile(file, allowEmpty)
         val current = context.orFail(context.states.read())
         val expected = expect ?: current?.version ?: 0
         if (current != null && diffStates(current.state, wanted).isEmpty()) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -101,11 +101,11 @@
     }
 
     private fun rankOf(match: RouteMatch.Found, waitsMillis: Long, demand: TokenDemand?): WaitingRank {
-        val waitedMillis = context.patience.waitedMillis(match.route.name, waitsMillis)
+        val waitedMillis = context.admission.patience.waitedMillis(match.route.name, waitsMillis)
         val objectiveMillis = match.route.objectiveMillis ?: Long.MAX_VALUE
         val workspace = match.workspace?.id
         if (workspace == null || demand == null) return WaitingRank.DUE
-        val within = context.shares.ask(context.clock.nowMillis(), workspace, demand.workTokens)
+        val within = context.admission.shares.ask(context.clock.nowMillis(), workspace, demand.workTokens)
         return when {
             waitedMillis >= objectiveMillis -> WaitingRank.LATE
             within -> WaitingRank.DUE
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -40,6 +40,13 @@
             "longest_pause_ms=${times.longestPauseMillis} reason=\"$reason\""
     }
 
+    fun refused(terms: RequestTerms, reason: String, inputs: RefusalInputs) = line {
+        "event=refused id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} rank=${terms.rank} " +
+            "waiting=${inputs.waitingCount} asked_tokens_per_s=${inputs.askedTokensPerSecond.toLong()} " +
+            "share_tokens_per_s=${inputs.shareTokensPerSecond?.toLong()} retry_after_s=${inputs.retryAfterSeconds} " +
+            "reason=\"$reason\" ${basis()}"
+    }
+
     fun turnedAway(id: String?, status: Int, reason: String) = line {
         "event=turned_away id=$id status=$status reason=\"$reason\" ${basis()}"
     }
@@ -78,6 +85,20 @@
     }
 }
 
+/**
+ * What a refusal rests on.
+ *
+ * @property waitingCount requests that wait at this host.
+ * @property askedTokensPerSecond what the workspace asks for on all hosts.
+ * @property shareTokensPerSecond what it is due; null while all can have what they ask for.
+ */
+internal class RefusalInputs(
+    val waitingCount: Int,
+    val askedTokensPerSecond: Double,
+    val shareTokensPerSecond: Double?,
+    val retryAfterSeconds: String,
+)
+
 /**
  * How a request ended and how long its parts took, in milliseconds.
  *
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -9,15 +9,16 @@
 import io.netty.buffer.UnpooledByteBufAllocator
 import io.netty.channel.EventLoop
 
+/** The decisions about when a request may go, wait or must be refused. */
+internal class Admission(val policy: AdmissionPolicy, val shares: FairShares, val patience: CallerPatience)
+
 /** What the handlers of requests share; all of it lives on one event loop. */
 internal class GatewayContext(
     val clock: Clock,
     val eventLoop: EventLoop,
     val callerInterface: CallerInterface,
     val connections: ConnectionPool,
-    val admission: AdmissionPolicy,
-    val shares: FairShares,
-    val patience: CallerPatience,
+    val admission: Admission,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
 ) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -54,7 +54,10 @@
     private val regions = settings.zones.associate { it.name to it.region }
     private val upstreams = UpstreamTable(registry, { regions[it] }, clock) { membership.live().size }
     private val begun = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND)
-    private val accounts = WorkspaceAccounts(begun, FleetAccounts(ASKED_FADE_MILLIS), FleetBacklog(begun))
+    private val accounts =
+        WorkspaceAccounts(begun, FleetAccounts(ASKED_FADE_MILLIS), FleetBacklog(begun), clock) {
+            context.dispatcher.waitingWorkspaces
+        }
     private val shares = FairShares(accounts.asked)
     private val connections = ConnectionPool(group, clock, PoolSettings())
     private val transport = NettyTransport(connections)
@@ -66,20 +69,19 @@
         MEMBERSHIP,
     )
     private val duty = WatchDuty(settings.host)
+    private val accountsExchange = AccountsExchange(membership, accounts, transport, log)
     private val peers =
-        PeerExchange(membership, accounts, knowledge, transport, clock, log, duty, scope) { context.dispatcher.waitingWorkspaces }
+        PeerExchange(membership, accounts, knowledge, transport, log, duty, accountsExchange, scope)
     private val store = deployment.store(transport, settings.store.address)
     private val watcher =
         StoreWatcher(store, deployment.format, knowledge, registry, StoreContact(duty, clock, log, peers::watches), random)
     private val metrics = GatewayMetrics()
-    private val context = GatewayContext(
+    private val context: GatewayContext = GatewayContext(
         clock,
         eventLoop,
         deployment.callerInterface,
         connections,
-        AdmissionPolicy(random),
-        shares,
-        CallerPatience(),
+        Admission(AdmissionPolicy(random), shares, CallerPatience()),
         log,
         metrics,
     )
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -49,7 +49,16 @@
 )
 
 /** Work by workspace on all hosts: what was begun, what was asked for, and who waits. */
-internal class WorkspaceAccounts(val begun: FleetAccounts, val asked: FleetAccounts, val backlog: FleetBacklog)
+internal class WorkspaceAccounts(
+    val begun: FleetAccounts,
+    val asked: FleetAccounts,
+    val backlog: FleetBacklog,
+    val clock: Clock,
+    val waiting: () -> Set<WorkspaceId>,
+)
+
+/** Returns the tokens as whole numbers, as they are told to peers. */
+internal fun Map<WorkspaceId, Double>.rounded(): Map<WorkspaceId, Long> = mapValues { it.value.roundToLong() }
 
 /** What a host knows from the store and the peer that asks does not. */
 @Serializable
@@ -64,16 +73,18 @@
     private val accounts: WorkspaceAccounts,
     private val knowledge: FleetKnowledge,
     private val transport: HttpTransport,
-    private val clock: Clock,
     private val log: DecisionLog,
     private val duty: WatchDuty,
+    private val accountsExchange: AccountsExchange,
     private val scope: CoroutineScope,
-    private val waiting: () -> Set<WorkspaceId>,
 ) {
+    private val clock: Clock get() = accounts.clock
+
     private var fetching = false
     private var membersSeen = emptySet<Member>()
 
     fun start() {
+        accountsExchange.start(scope)
         scope.launch {
             while (true) {
                 tick()
@@ -97,6 +108,7 @@
             HttpReply(BAD_REQUEST, "")
         }
         SNAPSHOT -> HttpReply(OK, WireJson.encodeToString(PeerSnapshot.serializer(), snapshotFor(target)))
+        AccountsExchange.PATH -> HttpReply(OK, accountsExchange.answer(body))
         else -> HttpReply(NOT_FOUND, "")
     }
 
@@ -125,15 +137,19 @@
     private fun receive(news: PeerNews): String {
         val nowMillis = clock.nowMillis()
         val sender = news.heartbeat.sender
-        accounts.begun.receive(nowMillis, sender.host, sender.incarnation, news.begun.toTokens())
-        accounts.asked.receive(nowMillis, sender.host, sender.incarnation, news.asked.toTokens())
-        accounts.backlog.receive(nowMillis, sender.host, news.waiting)
+        if (!accountsExchange.isNeeded) takeInAccounts(nowMillis, sender, news)
         duty.learned(nowMillis, news.storeAgeMillis)
         catchUp(sender.url, news)
         val reply = membership.receive(nowMillis, news.heartbeat, report()) ?: return ""
         return WireJson.encodeToString(PeerNews.serializer(), news(reply.heartbeat))
     }
 
+    private fun takeInAccounts(nowMillis: Long, sender: Member, news: PeerNews) {
+        accounts.begun.receive(nowMillis, sender.host, sender.incarnation, news.begun.toTokens())
+        accounts.asked.receive(nowMillis, sender.host, sender.incarnation, news.asked.toTokens())
+        accounts.backlog.receive(nowMillis, sender.host, news.waiting)
+    }
+
     /** Fetches what [url] knows where it is ahead; the store's own watch is usually faster. */
     private fun catchUp(url: String, news: PeerNews) {
         val newerConfiguration = news.heartbeat.stateVersion > knowledge.configurationVersion
@@ -197,9 +213,9 @@
     private fun news(heartbeat: Heartbeat) = PeerNews(
         heartbeat,
         knowledge.registryRevision,
-        accounts.begun.totals().rounded(),
-        accounts.asked.totals().rounded(),
-        waiting(),
+        if (accountsExchange.isNeeded) emptyMap() else accounts.begun.totals().rounded(),
+        if (accountsExchange.isNeeded) emptyMap() else accounts.asked.totals().rounded(),
+        if (accountsExchange.isNeeded) emptySet() else accounts.waiting(),
         duty.ageMillis(clock.nowMillis()),
     )
 
@@ -220,8 +236,6 @@
         accounts.asked.forget(host)
     }
 
-    private fun Map<WorkspaceId, Double>.rounded(): Map<WorkspaceId, Long> = mapValues { it.value.roundToLong() }
-
     private fun Map<WorkspaceId, Long>.toTokens(): Map<WorkspaceId, Double> = mapValues { it.value.toDouble() }
 
     private companion object {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -96,10 +96,12 @@
     }
 
     /** Returns when waiting on can't bring an answer that serves the caller, in milliseconds. */
-    fun giveUpAtMillis(): Long = context.admission.giveUpAtMillis(route, rank, terms.arrivedAtMillis, terms.deadlineAtMillis)
+    fun giveUpAtMillis(): Long =
+        context.admission.policy.giveUpAtMillis(route, rank, terms.arrivedAtMillis, terms.deadlineAtMillis)
 
     /** Whether the request has time to wait for the upstream that is best for all. */
-    fun isPatient(nowMillis: Long): Boolean = nowMillis < context.admission.patientUntilMillis(route, terms.arrivedAtMillis)
+    fun isPatient(nowMillis: Long): Boolean =
+        nowMillis < context.admission.policy.patientUntilMillis(route, terms.arrivedAtMillis)
 
     /** Sends the request to [upstream], which [choice] explains. */
     fun send(upstream: UpstreamState, choice: Choice) {
@@ -284,9 +286,17 @@
     }
 
     private fun refuseCaller(reason: String) {
-        val leftMillis = terms.callerWaitsUntilMillis - context.clock.nowMillis()
-        val seconds = context.admission.retryAfterMillis(route, leftMillis) / MILLIS_PER_SECOND
-        caller.fail(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: $reason", twoDigits(seconds))
+        val nowMillis = context.clock.nowMillis()
+        val leftMillis = terms.callerWaitsUntilMillis - nowMillis
+        val retryAfterSeconds = twoDigits(context.admission.policy.retryAfterMillis(route, leftMillis) / MILLIS_PER_SECOND)
+        val inputs = RefusalInputs(
+            context.dispatcher.waitingCount,
+            workspaceId?.let { context.admission.shares.askedTokensPerSecond(nowMillis, it) } ?: 0.0,
+            context.admission.shares.shareTokensPerSecond(nowMillis),
+            retryAfterSeconds,
+        )
+        context.log.refused(terms, reason, inputs)
+        caller.fail(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: $reason", retryAfterSeconds)
     }
 
     /** Ends an answer that has begun so that the caller sees that it is not whole. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Rehearsal.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Rehearsal.kt
@@ -22,8 +22,8 @@
  * A router that starts from that record answers sooner, which counts where all hosts restart at once.
  */
 internal class Rehearsal(private val deployment: Deployment, private val script: RehearsalScript) {
-    private val addresses = freeAddresses(ADDRESS_COUNT)
-    private val surroundings = addresses.last()
+    private val listen = ListenSettings(freeAddress(), freeAddress(), freeAddress(), freeAddress())
+    private val surroundings = freeAddress()
 
     /** Serves each of the script's requests [rounds] times; returns how many were answered with success. */
     suspend fun run(rounds: Int): Int = resourceScope {
@@ -39,13 +39,13 @@
     }
 
     private suspend fun play(transport: NettyTransport, rounds: Int): Int {
-        transport.call(addresses[1], HttpCall("GET", deployment.callerInterface.readinessPath), TIMEOUT_MILLIS)
-        transport.call(addresses[3], HttpCall("GET", deployment.callerInterface.addressesPath), TIMEOUT_MILLIS)
+        transport.call(listen.readiness, HttpCall("GET", deployment.callerInterface.readinessPath), TIMEOUT_MILLIS)
+        transport.call(listen.addresses, HttpCall("GET", deployment.callerInterface.addressesPath), TIMEOUT_MILLIS)
         var answered = 0
         repeat(rounds) { round ->
             for (request in script.requests()) {
                 val headers = request.headers.mapValues { (_, value) -> value.replace("rehearsal-", "rehearsal-$round-") }
-                val reply = transport.call(addresses[0], HttpCall("POST", request.target, "{}", headers), TIMEOUT_MILLIS)
+                val reply = transport.call(listen.callers, HttpCall("POST", request.target, "{}", headers), TIMEOUT_MILLIS)
                 if (reply.getOrElse { null }?.status == HttpResponseStatus.OK.code()) answered++
             }
         }
@@ -62,7 +62,7 @@
         host = HostId("rehearsal"),
         region = RegionId("region"),
         zone = ZoneId("zone"),
-        listen = ListenSettings(addresses[0], addresses[1], addresses[2], addresses[3]),
+        listen = listen,
         store = StoreSettings(surroundings),
         bounds = BoundSettings(
             graceSeconds = 1.0,
@@ -74,13 +74,9 @@
         zones = listOf(ZoneSettings(ZoneId("zone"), RegionId("region"))),
     )
 
-    private fun freeAddresses(count: Int): List<String> {
-        val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
-        return sockets.map { "127.0.0.1:${it.localPort}" }.also { sockets.forEach(ServerSocket::close) }
-    }
+    private fun freeAddress(): String = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
 
     private companion object {
-        const val ADDRESS_COUNT = 5
         const val TIMEOUT_MILLIS = 1_000L
     }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -9,7 +9,10 @@
 import buckthornbay.store.CollectionSnapshot
 import buckthornbay.store.ObjectCollections
 import buckthornbay.store.StoreError
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
+import com.github.michaelbull.result.map
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -51,8 +54,8 @@
 }
 
 /**
- * Keeps [knowledge] in step with the store by one watch for the configuration and one for the registrations, while it is this host's
- * duty to watch.
+ * Keeps [knowledge] in step with the store by one watch for the configuration and one for the registrations, while it is this
+ * host's duty to watch.
  */
 internal class StoreWatcher(
     private val store: ObjectCollections,
@@ -91,40 +94,39 @@
                 delay(OFF_DUTY_MILLIS.milliseconds)
                 continue
             }
-            val known = revision
-            val error = if (known == null) {
-                val snapshot = store.list(target.kind)
-                snapshot.getOrElse { null }?.let {
-                    answered()
-                    target.listed(it)
-                    revision = it.revision
-                }
-                if (snapshot.isErr) snapshot.error else null
-            } else {
-                val changes = store.watch(target.kind, known, WATCH_MILLIS)
-                changes.getOrElse { null }?.let {
-                    answered()
-                    target.changed(it)
-                    revision = maxOf(known, it.revision)
-                    if (it.changes.isNotEmpty()) delay(target.gatherMillis.milliseconds)
-                }
-                if (changes.isErr) changes.error else null
-            }
-            if (error == null) {
-                failures = 0
-                continue
-            }
-            if (error == StoreError.HistoryGone) {
-                contact.historyGone(target.kind, known)
-                revision = null
-                continue
-            }
-            failures++
-            failed(target.kind, error)
-            delay(backoffMillis(failures).milliseconds)
+            val next = revision?.let { watch(target, it) } ?: list(target)
+            failures = if (next.isOk) 0 else failures + 1
+            revision = next.getOrElse { error -> revisionAfter(target, error, revision) }
+            if (failures > 0 && !next.isHistoryGone()) delay(backoffMillis(failures).milliseconds)
+        }
+    }
+
+    private suspend fun list(target: Target): Result<Long, StoreError> = store.list(target.kind).map { snapshot ->
+        answered()
+        target.listed(snapshot)
+        snapshot.revision
+    }
+
+    private suspend fun watch(target: Target, revision: Long): Result<Long, StoreError> =
+        store.watch(target.kind, revision, WATCH_MILLIS).map { changes ->
+            answered()
+            target.changed(changes)
+            if (changes.changes.isNotEmpty()) delay(target.gatherMillis.milliseconds)
+            maxOf(revision, changes.revision)
         }
+
+    /** Returns from where to go on after [error]; null to list anew. */
+    private fun revisionAfter(target: Target, error: StoreError, revision: Long?): Long? {
+        if (error == StoreError.HistoryGone) {
+            contact.historyGone(target.kind, revision)
+            return null
+        }
+        failed(target.kind, error)
+        return revision
     }
 
+    private fun Result<Long, StoreError>.isHistoryGone(): Boolean = getError() == StoreError.HistoryGone
+
     private fun answered() = registry.storeRegained(contact.answered())
 
     private fun failed(kind: String, error: StoreError) {
@@ -168,15 +170,20 @@
         const val STORE = "store"
 
         /**
-         * How long a watch waits, in milliseconds; every call is paid for. With the time for an answer it stays within the 5.5 s
-         * after an outage's end by which a change must be in force, also where the outage swallowed the watch.
+         * How long a watch waits, in milliseconds; every call is paid for. With the time for an answer it stays within the
+         * 5.5 s after an outage's end by which a change must be in force, also where the outage swallowed the watch.
          */
         const val WATCH_MILLIS = 4_000L
 
-        /** Pause after changes of registrations, in milliseconds, so that many upstreams that start together cost one call. */
+        /**
+         * Pause after changes of registrations, in milliseconds, so that many upstreams that start together cost one call.
+         */
         const val GATHER_MILLIS = 250L
 
-        /** How often a host that does not watch asks whether it should, in milliseconds; the bound for changes is ten times that. */
+        /**
+         * How often a host that does not watch asks whether it should, in milliseconds; the bound for changes is ten times
+         * that.
+         */
         const val OFF_DUTY_MILLIS = 250L
 
         /** First pause after a failed call, in milliseconds; ten times the store's usual time for an answer. */
--- a/router/src/test/kotlin/buckthornbay/router/gateway/CallerContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/CallerContractTest.kt
@@ -76,7 +76,8 @@
         val upstream = upstream("plain-1", "plain") { it.answer() }
         awaitReady()
         val forged = "X-Buckthornbay-Tenant: other\r\nX-Buckthornbay-Hold: h\r\nX-Buckthornbay-Kv-Backup: 1.2.3.4:5\r\n" +
-            "Kv-From: 1.2.3.4:5/h\r\nX-Buckthornbay-Pin-Ms: 9\r\nX-Own: kept\r\nConnection: keep-alive, X-Gone, X-Buckthornbay-Model\r\n" +
+            "Kv-From: 1.2.3.4:5/h\r\nX-Buckthornbay-Pin-Ms: 9\r\nX-Own: kept\r\n" +
+            "Connection: keep-alive, X-Gone, X-Buckthornbay-Model\r\n" +
             "X-Gone: 1\r\nX-Buckthornbay-Model: m\r\n"
         val answer = call(request("/charge/x?q=1&r=%2f", method = "POST", body = "amount=5", more = forged))
         assertEquals(200, answer.status)
@@ -118,7 +119,10 @@
         GatewayFixture.awaitTrue("the upstream saw its connection close") { closed == true }
     }
 
-    /** Found by a hunt on glenmorrach (mix, seed 123593022029): hosts that had just restarted passed on what callers had given up. */
+    /**
+     * Found by a hunt on glenmorrach (mix, seed 123593022029): hosts that had just restarted passed on what callers had given
+     * up.
+     */
     @Test
     fun aRequestWhoseCallerLeftBeforeItWasReadIsNotPassedOn() {
         val busy = object : CallerInterface by PlatformInterface {
--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -141,7 +141,10 @@
     }
 }
 
-/** An answer as a caller sees it; [body] holds the bytes after decoding of chunks, [whole] tells whether it ended as it should. */
+/**
+ * An answer as a caller sees it; [body] holds the bytes after decoding of chunks, [whole] tells whether it ended as it
+ * should.
+ */
 internal class CallerAnswer(val status: Int, val headers: Map<String, String>, val body: String, val whole: Boolean)
 
 /** A caller's connection that sends what it is told, also what is no request. */
--- a/store/src/main/kotlin/buckthornbay/store/DesiredStateStore.kt
+++ b/store/src/main/kotlin/buckthornbay/store/DesiredStateStore.kt
@@ -24,7 +24,8 @@
     /**
      * Replaces the state of [expectedVersion] by [state] and returns the new version.
      *
-     * Where the reply is lost, the stored [applyId] settles whether the change took effect, so that it is reported exactly once.
+     * Where the reply is lost, the stored [applyId] settles whether the change took effect, so that it is reported exactly
+     * once.
      */
     public suspend fun apply(state: DesiredState, expectedVersion: Long, applyId: String): Result<Long, StoreError> {
         val value = WireJson.encodeToString(StateObject.serializer(), StateObject(applyId, state))
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
@@ -46,8 +46,8 @@
 }
 
 /**
- * A stand-in of the platform's store on loopback: objects by kind and name, lists in pages, watches that wait, and a history that can
- * be forgotten.
+ * A stand-in of the platform's store on loopback: objects by kind and name, lists in pages, watches that wait, and a history
+ * that can be forgotten.
  *
  * ```kotlin
  * PlatformStoreServer().use { store -> store.put("config", "main", manifest) }
