--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/admission/AdmissionPolicyTest.kt
@@ -0,0 +1,58 @@
+package buckthornbay.core.admission
+
+import buckthornbay.core.routing.Route
+import buckthornbay.core.routing.RouteKind
+import buckthornbay.protocol.WorkspaceId
+import org.apache.commons.rng.simple.RandomSource
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class AdmissionPolicyTest {
+    private val policy = AdmissionPolicy(RandomSource.SPLIT_MIX_64.create(1))
+    private val route = Route(
+        name = "r", hostName = "h", pathPrefix = "/", kind = RouteKind.EVENT_STREAM, targets = emptyList(), timeoutMillis = 12_000,
+        objectiveMillis = 800, maxAttempts = 1, public = false, prefixAffinity = true, resumable = false, longestPauseMillis = 300,
+        priority = 1,
+    )
+
+    @Test
+    fun nobodyWaitsUntilItIsTooLateToBeOnTime() {
+        for (rank in WaitingRank.entries) {
+            val until = policy.giveUpAtMillis(route, rank, arrivedAtMillis = 0, deadlineAtMillis = 12_000)
+            assertTrue(until < 800, "$rank waits until $until ms")
+        }
+        assertTrue(policy.giveUpAtMillis(route, WaitingRank.DUE, arrivedAtMillis = 0, deadlineAtMillis = 200) <= 100)
+    }
+
+    /** The load: a thousand callers are turned away at once. They may wait a third of what they have left. */
+    @Test
+    fun callersThatAreTurnedAwayTogetherDoNotReturnTogether() {
+        val returns = List(1_000) { policy.retryAfterMillis(route, leftMillis = 12_000) }
+        assertTrue(returns.all { it in 400.0..4_000.0 })
+        val busiest = returns.groupingBy { (it / 400).toInt() }.eachCount().values.max()
+        assertTrue(busiest < 200, "$busiest of 1,000 return within one 400 ms")
+        assertTrue(policy.retryAfterMillis(route, leftMillis = 300) <= 100.0)
+    }
+
+    @Test
+    fun theTimeThatIsLeftTellsHowLongACallerWaited() {
+        val patience = CallerPatience()
+        assertEquals(0, patience.waitedMillis("r", 12_000))
+        assertEquals(2_500, patience.waitedMillis("r", 9_500))
+        assertEquals(0, patience.waitedMillis("other", 9_500))
+    }
+
+    @Test
+    fun whatASourceSaysReplacesWhatItSaidAndIsDroppedInTime() {
+        val workspace = WorkspaceId("w")
+        val accounts = FleetAccounts(1_200.0)
+        accounts.charge(0, workspace, 100.0)
+        accounts.hold(0, "zone:a", mapOf(workspace to 500.0))
+        accounts.hold(0, "zone:a", mapOf(workspace to 300.0))
+        assertEquals(400.0, accounts.recentTokens(0, workspace))
+        assertEquals(0.25, accounts.ownPart(0, workspace))
+        assertEquals(mapOf(workspace to 100.0), accounts.recentOf(0) { false })
+        assertTrue(accounts.recentTokens(2_001, workspace) < 100.0)
+    }
+}
