--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -47,6 +47,10 @@
     /** The workspaces of which something waits. */
     public val workspaces: Set<WorkspaceId> get() = byWorkspace.keys.filterNotNull().toSet()
 
+    /** Returns the workspaces of which something has waited since [sinceMillis] or longer. */
+    public fun workspacesWaitingSince(sinceMillis: Long): Set<WorkspaceId> =
+        byWorkspace.filterValues { queue -> queue.any { it.arrivedAtMillis <= sinceMillis } }.keys.filterNotNull().toSet()
+
     /** Returns how many requests of [workspace] wait. */
     public fun sizeOf(workspace: WorkspaceId?): Int = byWorkspace[workspace]?.size ?: 0
 
--- a/core/src/test/kotlin/buckthornbay/core/admission/AdmissionPolicyTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/AdmissionPolicyTest.kt
@@ -11,8 +11,18 @@
 class AdmissionPolicyTest {
     private val policy = AdmissionPolicy(RandomSource.SPLIT_MIX_64.create(1))
     private val route = Route(
-        name = "r", hostName = "h", pathPrefix = "/", kind = RouteKind.EVENT_STREAM, targets = emptyList(), timeoutMillis = 12_000,
-        objectiveMillis = 800, maxAttempts = 1, public = false, prefixAffinity = true, resumable = false, longestPauseMillis = 300,
+        name = "r",
+        hostName = "h",
+        pathPrefix = "/",
+        kind = RouteKind.EVENT_STREAM,
+        targets = emptyList(),
+        timeoutMillis = 12_000,
+        objectiveMillis = 800,
+        maxAttempts = 1,
+        public = false,
+        prefixAffinity = true,
+        resumable = false,
+        longestPauseMillis = 300,
         priority = 1,
     )
 
--- a/core/src/test/kotlin/buckthornbay/core/routing/RouteTableTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/routing/RouteTableTest.kt
@@ -14,9 +14,19 @@
         public: Boolean = false,
         targets: List<RouteTarget> = listOf(RouteTarget(ServiceId("s"), 1.0)),
     ) = Route(
-        name = prefix, hostName = "a.example", pathPrefix = prefix, kind = RouteKind.IDEMPOTENT, targets = targets,
-        timeoutMillis = 1_000, objectiveMillis = 100, maxAttempts = 2, public = public, prefixAffinity = false,
-        resumable = false, longestPauseMillis = null, priority = 0,
+        name = prefix,
+        hostName = "a.example",
+        pathPrefix = prefix,
+        kind = RouteKind.IDEMPOTENT,
+        targets = targets,
+        timeoutMillis = 1_000,
+        objectiveMillis = 100,
+        maxAttempts = 2,
+        public = public,
+        prefixAffinity = false,
+        resumable = false,
+        longestPauseMillis = null,
+        priority = 0,
     )
 
     private val split = listOf(RouteTarget(ServiceId("old"), 90.0), RouteTarget(ServiceId("new"), 10.0))
--- a/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
@@ -37,9 +37,9 @@
 /**
  * Exchanges workspaces' accounts in a fleet too large for every pair of hosts to meet within a second.
  *
- * Each availability zone has one host, by rendezvous hashing, that adds up the zone's accounts and exchanges the sums with the other
- * zones' hosts; the others send it theirs and get the rest of the fleet's. Figures are absolute and replace each other, so that lost
- * and doubled messages and a change of that host do no harm.
+ * Each availability zone has one host, by rendezvous hashing, that adds up the zone's accounts and exchanges the sums with the
+ * other zones' hosts; the others send it theirs and get the rest of the fleet's. Figures are absolute and replace each other, so
+ * that lost and doubled messages and a change of that host do no harm.
  */
 internal class AccountsExchange(
     private val membership: Membership,
@@ -126,7 +126,7 @@
             self.zone,
             accounts.begun.recentOf(nowMillis, include).rounded(),
             accounts.asked.recentOf(nowMillis, include).rounded(),
-            accounts.waiting() + accounts.backlog.waitingWhere(nowMillis) { include(it.value) },
+            accounts.waiting(HELD_BACK_MILLIS) + accounts.backlog.waitingWhere(nowMillis) { include(it.value) },
         )
     }
 
@@ -149,6 +149,12 @@
         private const val ZONE = "zone:"
         private const val OTHERS = ":others"
 
+        /**
+         * Wait that tells that a workspace is held back, in milliseconds; in a large fleet some request of nearly every workspace
+         * waits for a moment somewhere.
+         */
+        private const val HELD_BACK_MILLIS = 200L
+
         /** Time between two exchanges, in milliseconds; three of them bring a host's accounts to all others. */
         private const val PERIOD_MILLIS = 400L
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
@@ -28,8 +28,11 @@
     /** Requests that wait. */
     val waitingCount: Int get() = queues.values.sumOf { it.size }
 
-    /** The workspaces of which something waits here. */
-    val waitingWorkspaces: Set<WorkspaceId> get() = queues.values.flatMap { it.workspaces }.toSet()
+    /** Returns the workspaces of which something has waited here for [millis] or longer. */
+    fun workspacesWaitingFor(millis: Long): Set<WorkspaceId> {
+        val sinceMillis = clock.nowMillis() - millis
+        return queues.values.flatMap { it.workspacesWaitingSince(sinceMillis) }.toSet()
+    }
 
     /** Takes in a request that is to be sent, for the first time or again. */
     fun submit(request: ProxiedRequest) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -56,7 +56,7 @@
     private val begun = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND)
     private val accounts =
         WorkspaceAccounts(begun, FleetAccounts(ASKED_FADE_MILLIS), FleetBacklog(begun), clock) {
-            context.dispatcher.waitingWorkspaces
+            context.dispatcher.workspacesWaitingFor(it)
         }
     private val shares = FairShares(accounts.asked)
     private val connections = ConnectionPool(group, clock, PoolSettings())
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -54,8 +54,11 @@
     val asked: FleetAccounts,
     val backlog: FleetBacklog,
     val clock: Clock,
-    val waiting: () -> Set<WorkspaceId>,
-)
+    private val waitingFor: (Long) -> Set<WorkspaceId>,
+) {
+    /** Returns the workspaces of which something has waited here for [millis] or longer. */
+    fun waiting(millis: Long = 0): Set<WorkspaceId> = waitingFor(millis)
+}
 
 /** Returns the tokens as whole numbers, as they are told to peers. */
 internal fun Map<WorkspaceId, Double>.rounded(): Map<WorkspaceId, Long> = mapValues { it.value.roundToLong() }
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
@@ -57,9 +57,8 @@
             it.answer()
         },
         Row("another request's answer first", charge = 200 to 1, read = 200 to 1) {
-            it.write(
-                "HTTP/1.1 200 OK\r\nX-Buckthornbay-Attempt-Id: other\r\nX-Buckthornbay-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong",
-            )
+            it.write("HTTP/1.1 200 OK\r\nX-Buckthornbay-Attempt-Id: other\r\n")
+            it.write("X-Buckthornbay-Server-Seal: s\r\nContent-Length: 5\r\n\r\nwrong")
             it.answer()
         },
         Row("no length and an orderly end", charge = 200 to 1, read = 200 to 1) {
--- /dev/null
+++ b/soak/src/main/kotlin/buckthornbay/soak/SoakCallers.kt
@@ -0,0 +1,137 @@
+package buckthornbay.soak
+
+import org.apache.commons.rng.UniformRandomProvider
+import java.io.BufferedInputStream
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+
+/** The routes that callers of a soak use. */
+public enum class SoakRoute(internal val path: String, internal val method: String) {
+    READ("/read/", "GET"),
+    CHARGE("/charge/", "POST"),
+    STREAM("/stream/", "POST"),
+    DROPPED("/dropped/", "GET"),
+}
+
+/** What came back for one request. */
+internal class CallerReply(val status: Int, val body: String, val whole: Boolean)
+
+/** One caller: it keeps its connection for several requests and goes on with another host when that fails. */
+internal class SoakCaller(
+    private val number: Int,
+    private val hosts: List<RouterHost>,
+    private val promises: Promises,
+    private val random: UniformRandomProvider,
+) {
+    private val sent = AtomicInteger()
+    private var socket: Socket? = null
+
+    /** The host that the caller is or was last connected to. */
+    var hostNumber: Int = 0
+        private set
+
+    /** Sends one request on [route] and reports what came of it; returns the status, or null where the connection failed. */
+    fun call(route: SoakRoute): Int? {
+        val id = "caller-$number-${sent.incrementAndGet()}"
+        if (route == SoakRoute.CHARGE) promises.sentOnce(id)
+        val reply = try {
+            val open = connection()
+            open.getOutputStream().write(request(route, id).encodeToByteArray())
+            read(BufferedInputStream(open.getInputStream()))
+        } catch (_: IOException) {
+            drop()
+            promises.told(id, Told.UNKNOWN)
+            return null
+        }
+        if (!reply.whole || random.nextInt(REQUESTS_PER_CONNECTION) == 0) drop()
+        report(route, id, reply)
+        return reply.status
+    }
+
+    private fun report(route: SoakRoute, id: String, reply: CallerReply) = when {
+        reply.status == SERVICE_UNAVAILABLE -> promises.told(id, Told.NOT_RUN)
+        reply.status != OK -> promises.told(id, Told.UNKNOWN)
+        route == SoakRoute.STREAM -> {
+            val events = EVENT_ID.findAll(reply.body).map { it.groupValues[1].toInt() }.toList()
+            promises.streamed(id, events, reply.whole, SoakUpstreams.EVENTS)
+        }
+        reply.whole -> promises.answered(id, reply.body)
+        else -> promises.told(id, Told.UNKNOWN)
+    }
+
+    private fun connection(): Socket {
+        socket?.let { return it }
+        hostNumber = random.nextInt(hosts.size)
+        val host = hosts[hostNumber]
+        val opened = Socket()
+        opened.soTimeout = PATIENCE_MILLIS
+        opened.connect(InetSocketAddress("127.0.0.1", host.callersAddress.substringAfterLast(':').toInt()), CONNECT_MILLIS)
+        return opened.also { socket = it }
+    }
+
+    private fun drop() {
+        socket?.close()
+        socket = null
+    }
+
+    private fun request(route: SoakRoute, id: String): String {
+        val body = if (route.method == "POST") "Content-Length: 1\r\n\r\nx" else "\r\n"
+        return "${route.method} ${route.path}x HTTP/1.1\r\nHost: a.example\r\nX-Buckthornbay-Attempt-Id: $id\r\n" +
+            "X-Buckthornbay-Deadline-Ms: 3000\r\nAuthorization: Bearer key\r\nX-Buckthornbay-Token-Count: 100,50\r\n$body"
+    }
+
+    private fun read(input: BufferedInputStream): CallerReply {
+        val status = line(input).split(' ').getOrNull(1)?.toIntOrNull() ?: throw IOException("no answer")
+        var length = 0
+        var chunked = false
+        while (true) {
+            val header = line(input)
+            if (header.isEmpty()) break
+            val name = header.substringBefore(':').lowercase()
+            if (name == "content-length") length = header.substringAfter(':').trim().toInt()
+            if (name == "transfer-encoding") chunked = true
+        }
+        if (!chunked) return input.readNBytes(length).let { CallerReply(status, it.decodeToString(), it.size == length) }
+        return chunks(input, status)
+    }
+
+    private fun chunks(input: BufferedInputStream, status: Int): CallerReply {
+        val body = StringBuilder()
+        try {
+            while (true) {
+                val size = line(input).trim().toInt(HEXADECIMAL)
+                body.append(input.readNBytes(size).decodeToString())
+                line(input)
+                if (size == 0) return CallerReply(status, body.toString(), whole = true)
+            }
+        } catch (_: IOException) {
+            return CallerReply(status, body.toString(), whole = false)
+        } catch (_: NumberFormatException) {
+            return CallerReply(status, body.toString(), whole = false)
+        }
+    }
+
+    private fun line(input: BufferedInputStream): String {
+        val line = StringBuilder()
+        while (true) {
+            val byte = input.read()
+            if (byte < 0) throw IOException("the connection was closed")
+            if (byte == '\n'.code) return line.toString().trimEnd('\r')
+            line.append(byte.toChar())
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val SERVICE_UNAVAILABLE = 503
+        const val HEXADECIMAL = 16
+        const val REQUESTS_PER_CONNECTION = 20
+        const val CONNECT_MILLIS = 500
+
+        /** How long a caller waits for anything, in milliseconds; longer than the time limit it names. */
+        const val PATIENCE_MILLIS = 4_000
+        val EVENT_ID = Regex("id: (\\d+)\n")
+    }
+}
