Let a broken stream wait for an upstream that can continue it

Cause, found on reading: a stream that broke after its objective had no waiting time left, and counted as beyond its workspace's share, so it was given up where no engine had room at that moment; an attempt to continue that found no connection used up the attempts. Change: what an upstream failed goes first and waits 1.5 s; only continuations that were written count as runs. The test fails without either.

--- a/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
@@ -29,6 +29,10 @@
         return minOf(limitMillis, latestMillis)
     }
 
+    /** Returns until when a request may wait that an upstream failed, in milliseconds; its caller was promised more than a new one. */
+    public fun repeatUntilMillis(nowMillis: Long, deadlineAtMillis: Long): Long =
+        minOf(nowMillis + settings.repeatWaitMillis, deadlineAtMillis - settings.leastServiceMillis)
+
     /** Returns until when a request may hold out for the upstream that is best for all, in milliseconds. */
     public fun patientUntilMillis(route: Route, arrivedAtMillis: Long): Long =
         arrivedAtMillis + ((route.objectiveMillis ?: route.timeoutMillis) * settings.patientPart).toLong()
@@ -52,6 +56,8 @@
  * @property waitingPart part of a route's objective that may be spent waiting; the rest is for reading the prompt.
  * @property lateWaitingPart part of its remaining time that a request may wait which is late anyway; the rest is for its
  * answer.
+ * @property repeatWaitMillis time that a request may wait after an upstream failed it, in milliseconds: callers give a stream up after
+ * a pause of two seconds.
  * @property patientPart part of a route's objective that may be spent waiting for one upstream while others have room.
  * @property leastServiceMillis time that must be left for serving, in milliseconds.
  * @property callerPatience part of its remaining time that a caller spends on waiting for its return, at most.
@@ -60,6 +66,7 @@
 public data class AdmissionSettings(
     public val waitingPart: Double = 0.6,
     public val lateWaitingPart: Double = 0.05,
+    public val repeatWaitMillis: Long = 1_500,
     public val patientPart: Double = 0.3,
     public val leastServiceMillis: Long = 100,
     public val callerPatience: Double = 0.3,
--- a/core/src/main/kotlin/buckthornbay/core/request/RequestLifecycle.kt
+++ b/core/src/main/kotlin/buckthornbay/core/request/RequestLifecycle.kt
@@ -74,6 +74,7 @@
     private var sends = 0
     private var runs = 0
     private var resumes = 0
+    private var unwrittenResumes = 0
     private var mayHaveRun = false
 
     /** The request's end, or null while it goes on. */
@@ -116,7 +117,7 @@
         mayHaveRun = mayHaveRun || written
         if (written) runs++
         return when {
-            state == RequestState.STREAMING -> afterBrokenAnswer(kind)
+            state == RequestState.STREAMING -> afterBrokenAnswer(kind, written)
             kind == FailureKind.CALLER_LEFT -> endWith(if (unrepeatable) RequestEvent.LOSE_TRACK else RequestEvent.FAIL_WRITTEN)
             !written -> afterUnwritten(drawsOnBudget = kind == FailureKind.REFUSED_UNREAD && limits.refusalsDrawOnBudget)
             unrepeatable -> endWith(RequestEvent.LOSE_TRACK)
@@ -137,11 +138,15 @@
         else -> endWith(RequestEvent.FAIL_UNWRITTEN)
     }
 
-    private fun afterBrokenAnswer(kind: FailureKind): AfterFailure {
-        val mayResume = resumable && resumes < limits.maxResumes && (!limits.resumesAreRuns || runs < limits.maxRuns)
-        if (kind == FailureKind.CALLER_LEFT || !mayResume) return endWith(RequestEvent.FAIL_WRITTEN)
-        if (limits.resumesAreRuns && !budget.tryRetry()) return endWith(RequestEvent.FAIL_WRITTEN)
-        resumes++
+    private fun afterBrokenAnswer(kind: FailureKind, written: Boolean): AfterFailure = when {
+        kind == FailureKind.CALLER_LEFT || !resumable -> endWith(RequestEvent.FAIL_WRITTEN)
+        !written -> resumeIf(++unwrittenResumes < limits.maxSends)
+        limits.resumesAreRuns -> resumeIf(runs < limits.maxRuns && ++resumes <= limits.maxResumes && budget.tryRetry())
+        else -> resumeIf(++resumes <= limits.maxResumes)
+    }
+
+    private fun resumeIf(allowed: Boolean): AfterFailure {
+        if (!allowed) return endWith(RequestEvent.FAIL_WRITTEN)
         move(RequestEvent.RESUME)
         return AfterFailure.Resume
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -81,8 +81,8 @@
     val demand: TokenDemand? get() = terms.demand
     override val mayMove: Boolean get() = route.repeatable
 
-    /** Which requests this one goes before while it waits. */
-    val rank: WaitingRank get() = terms.rank
+    /** Which requests this one goes before while it waits; one that an upstream failed goes first, whatever its share. */
+    val rank: WaitingRank get() = if (triedUpstreams.isEmpty()) terms.rank else WaitingRank.DUE
     val triedUpstreams = LinkedHashSet<UpstreamId>()
 
     /** This request's place in the queue, or null where it does not wait. */
@@ -96,8 +96,11 @@
     }
 
     /** Returns when waiting on can't bring an answer that serves the caller, in milliseconds. */
-    fun giveUpAtMillis(): Long =
+    fun giveUpAtMillis(): Long = if (triedUpstreams.isEmpty()) {
         context.admission.policy.giveUpAtMillis(route, rank, terms.arrivedAtMillis, terms.deadlineAtMillis)
+    } else {
+        context.admission.policy.repeatUntilMillis(context.clock.nowMillis(), terms.deadlineAtMillis)
+    }
 
     /** Whether the request has time to wait for the upstream that is best for all. */
     fun isPatient(nowMillis: Long): Boolean =
@@ -236,7 +239,7 @@
         if (lifecycle.state != RequestState.STREAMING) lifecycle.queued()
         context.dispatcher.submit(this)
         if (waiting == null || ended) return
-        val leftMillis = giveUpAtMillis() - context.clock.nowMillis()
+        val leftMillis = checkNotNull(waiting) { "the request waits" }.giveUpAtMillis - context.clock.nowMillis()
         waitTimer = context.eventLoop.schedule(::waitOver, leftMillis.coerceAtLeast(0), TimeUnit.MILLISECONDS)
     }
 
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.testkit.platform.ScriptedExchange
+import kotlinx.coroutines.delay
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -136,6 +137,34 @@
         )
     }
 
+    /** The break comes after the time that a new request may wait, and the only other upstream comes later still. */
+    @Test
+    fun aBrokenStreamWaitsForAnUpstreamThatCanContinueIt() = GatewayFixture.run {
+        val breaking: (ScriptedExchange) -> Unit = { exchange ->
+            exchange.beginEvents()
+            exchange.events(1..2)
+            Thread.sleep(400)
+            exchange.reset()
+        }
+        val first = upstream("models-1", "models", breaking)
+        awaitReady()
+        caller().use { caller ->
+            caller.send(request("/stream/x", method = "POST", body = "a"))
+            GatewayFixture.awaitTrue("the request arrived") { first.requests.isNotEmpty() }
+            register("models-1", "models", first.address, state = "draining", sequence = 2)
+            register("models-2", "models", "127.0.0.1:1")
+            delay(800)
+            upstream("models-3", "models") { exchange ->
+                exchange.beginEvents()
+                exchange.events(3..4)
+                exchange.write("0\r\n\r\n")
+            }
+            val answer = caller.answer()
+            assertTrue(answer.whole)
+            assertEquals((1..4).joinToString("") { "id: $it\ndata: $it\n\n" }, answer.body)
+        }
+    }
+
     @Test
     fun aContinuationWithAGapIsNotPassedOn() = GatewayFixture.run {
         val script: (ScriptedExchange) -> Unit = { exchange ->
