End a broken stream of the own interface by its error event alone

The event was written and flushed, then the connection was cut by an exception; where the server had not taken the event up yet, it was dropped and the end looked orderly. Change: an event stream that breaks ends with its error event and is not cut.

--- a/router/src/main/kotlin/buckthornbay/router/Caller.kt
+++ b/router/src/main/kotlin/buckthornbay/router/Caller.kt
@@ -32,14 +32,16 @@
         call.respondBytesWriter(contentTypeOf(head), head.status) { write(this) }
     }
 
-    /** Says that the begun answer breaks off here, and cuts the connection so that it can't be taken for whole. */
+    /**
+     * Says that the begun answer breaks off here: by an event where it consists of [events], and else by cutting the connection.
+     *
+     * A connection that is cut may lose the event before it, and its end may look orderly to the caller then.
+     */
     suspend fun breakOff(to: ByteWriteChannel, events: Boolean) {
-        if (events) {
-            val body = ErrorBody(RefusalText.of(RequestEnd.FAILED), RequestEnd.FAILED, id.value)
-            to.writeStringUtf8("event: error\ndata: ${WireJson.encodeToString(ErrorBody.serializer(), body)}\n\n")
-            to.flush()
-        }
-        throw IOException("the upstream broke off its answer")
+        if (!events) throw IOException("the upstream broke off its answer")
+        val body = ErrorBody(RefusalText.of(RequestEnd.FAILED), RequestEnd.FAILED, id.value)
+        to.writeStringUtf8("event: error\ndata: ${WireJson.encodeToString(ErrorBody.serializer(), body)}\n\n")
+        to.flush()
     }
 
     /** Answers that the request has no answer, with its [end] and, where it helps, when to try again. */
