--- a/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
@@ -29,7 +29,7 @@
         return minOf(limitMillis, latestMillis)
     }
 
-    /** Returns until when a request may wait that an upstream failed, in milliseconds; its caller was promised more than a new one. */
+    /** Returns until when a request may wait that an upstream failed, in milliseconds; its caller has begun to be served. */
     public fun repeatUntilMillis(nowMillis: Long, deadlineAtMillis: Long): Long =
         minOf(nowMillis + settings.repeatWaitMillis, deadlineAtMillis - settings.leastServiceMillis)
 
@@ -56,8 +56,8 @@
  * @property waitingPart part of a route's objective that may be spent waiting; the rest is for reading the prompt.
  * @property lateWaitingPart part of its remaining time that a request may wait which is late anyway; the rest is for its
  * answer.
- * @property repeatWaitMillis time that a request may wait after an upstream failed it, in milliseconds: callers give a stream up after
- * a pause of two seconds.
+ * @property repeatWaitMillis time that a request may wait after an upstream failed it, in milliseconds: callers give a stream up
+ * after a pause of two seconds.
  * @property patientPart part of a route's objective that may be spent waiting for one upstream while others have room.
  * @property leastServiceMillis time that must be left for serving, in milliseconds.
  * @property callerPatience part of its remaining time that a caller spends on waiting for its return, at most.
--- a/core/src/main/kotlin/buckthornbay/core/routing/RouteTable.kt
+++ b/core/src/main/kotlin/buckthornbay/core/routing/RouteTable.kt
@@ -1,7 +1,6 @@
 package buckthornbay.core.routing
 
 import buckthornbay.protocol.ServiceId
-import buckthornbay.protocol.WorkspaceId
 import org.apache.commons.codec.digest.MurmurHash3
 
 /** Where a request may go, or why it may not. */
@@ -24,14 +23,10 @@
     private val workspaceByKey: Map<String, WorkspaceKeys> =
         configuration.workspaces.flatMap { workspace -> workspace.keys.map { it to workspace } }.toMap()
     private val services: Map<ServiceId, ServiceSpec> = configuration.services.associateBy { it.id }
-    private val prioritiesByWorkspace: Map<WorkspaceId, Int> = configuration.workspaces.associate { it.id to it.priority }
 
     /** Returns the service [id], or null where this version has none. */
     public fun service(id: ServiceId): ServiceSpec? = services[id]
 
-    /** Returns the rank of [workspace], or null where it has none of its own. */
-    public fun priorityOf(workspace: WorkspaceId): Int? = prioritiesByWorkspace[workspace]
-
     /** Finds the route with the longest prefix of [path] under [hostName], and the workspace that holds [key]. */
     public fun match(hostName: String, path: String, key: String?): RouteMatch {
         val route =
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -54,8 +54,6 @@
     private var began = false
     private var ended = false
 
-    val hasBegun: Boolean get() = began
-
     /** Whether the request may go on elsewhere when this attempt is given up. */
     val mayMove: Boolean get() = listener.mayMove
     val sentAtMillis: Long = context.clock.nowMillis()
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -86,8 +86,6 @@
 
     val isWritable: Boolean get() = context.channel().isWritable
 
-    val remoteAddress: String get() = context.channel().remoteAddress()?.toString().orEmpty()
-
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -36,8 +36,8 @@
 
     fun ended(terms: RequestTerms, times: RequestTimes, reason: String) = line {
         "event=ended id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} state=${times.state} " +
-            "rank=${terms.rank} elapsed_ms=${times.elapsedMillis} first_event_ms=${times.firstEventMillis} " +
-            "longest_pause_ms=${times.longestPauseMillis} reason=\"$reason\""
+            "rank=${terms.rank} elapsed_ms=${times.elapsedMillis} first_event_ms=${times.stream.firstEventMillis} " +
+            "longest_pause_ms=${times.stream.longestPauseMillis} reason=\"$reason\""
     }
 
     fun refused(terms: RequestTerms, reason: String, inputs: RefusalInputs) = line {
@@ -99,17 +99,8 @@
     val retryAfterSeconds: String,
 )
 
-/**
- * How a request ended and how long its parts took, in milliseconds.
- *
- * @property firstEventMillis time to the first event that was passed on; -1 where there was none.
- */
-internal class RequestTimes(
-    val state: RequestState,
-    val elapsedMillis: Long,
-    val firstEventMillis: Long,
-    val longestPauseMillis: Long,
-)
+/** How a request ended, and how long it and its parts took. */
+internal class RequestTimes(val state: RequestState, val elapsedMillis: Long, val stream: StreamTimes)
 
 /** Writes [value] with two digits, independent of the machine's locale. */
 internal fun twoDigits(value: Double): String = String.format(Locale.ROOT, "%.2f", value)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
@@ -156,8 +156,6 @@
         fail(failure ?: "the connection was closed")
     }
 
-    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) = Unit
-
     @Suppress("OVERRIDE_DEPRECATION")
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
         failure = cause.message ?: cause.javaClass.simpleName
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -64,15 +64,13 @@
         ),
     )
     private val progress = StreamProgress()
+    private val times = StreamTimes()
     private var attempt: Attempt? = null
     private var failedAnswer: WholeAnswer? = null
     private var deadlineTimer: ScheduledFuture<*>? = null
     private var waitTimer: ScheduledFuture<*>? = null
     private var callerGone = false
     private var headSent = false
-    private var eventAtMillis = 0L
-    private var firstEventMillis = -1L
-    private var longestGapMillis = 0L
     private var ended = false
 
     val id: String get() = terms.id
@@ -149,7 +147,7 @@
         if (lifecycle.state == RequestState.STREAMING) return
         lifecycle.answering()
         headSent = true
-        firstEventMillis = context.clock.nowMillis() - terms.arrivedAtMillis
+        times.began(context.clock.nowMillis() - terms.arrivedAtMillis)
         context.metrics.began(terms, context.clock.nowMillis())
         caller.beginStream(status, answerHeadersToForward(headers))
     }
@@ -167,19 +165,15 @@
 
     override fun eventsRead(attempt: Attempt) {
         if (ended) return
-        noteGap(attempt)
+        notePause(attempt)
         caller.flush()
         if (!caller.isWritable) attempt.setReading(false)
     }
 
-    private fun noteGap(attempt: Attempt) {
+    private fun notePause(attempt: Attempt) {
         val nowMillis = context.clock.nowMillis()
-        val allowedMillis = route.longestPauseMillis
-        if (eventAtMillis > 0 && allowedMillis != null) {
-            attempt.upstream.candidate.load.paused(nowMillis, nowMillis - eventAtMillis, allowedMillis)
-        }
-        if (eventAtMillis > 0) longestGapMillis = maxOf(longestGapMillis, nowMillis - eventAtMillis)
-        eventAtMillis = nowMillis
+        val pauseMillis = times.passed(nowMillis) ?: return
+        route.longestPauseMillis?.let { attempt.upstream.candidate.load.paused(nowMillis, pauseMillis, it) }
     }
 
     override fun streamEnded(attempt: Attempt, leftover: ByteBuf?) {
@@ -215,7 +209,7 @@
 
     override fun failed(attempt: Attempt, kind: FailureKind, reason: String) {
         this.attempt = null
-        eventAtMillis = 0
+        times.broken()
         context.log.attemptFailed(terms, attempt.upstream.entry.id, kind, reason)
         follow(lifecycle.failed(kind), reason)
     }
@@ -334,7 +328,7 @@
         context.requestEnded(this)
         context.log.ended(
             terms,
-            RequestTimes(lifecycle.state, context.clock.nowMillis() - terms.arrivedAtMillis, firstEventMillis, longestGapMillis),
+            RequestTimes(lifecycle.state, context.clock.nowMillis() - terms.arrivedAtMillis, times),
             reason,
         )
         context.metrics.ended(terms, lifecycle.state, context.clock.nowMillis())
