--- a/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
-import java.net.InetSocketAddress
 
 /** Where a connection comes from. */
 internal sealed interface Connected {
@@ -84,7 +83,7 @@
 
     private fun connect(address: String, receive: (Connected) -> Unit) {
         val connection = HttpConnection(clock) { release(address, it) }
-        val target = InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+        val target = socketAddressOf(address)
         val handlers = object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) = connection.install(channel)
         }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Listeners.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Listeners.kt
@@ -14,7 +14,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
-import java.net.InetSocketAddress
 
 /** The sockets on which a host listens. */
 internal class Listeners(private val group: EventLoopGroup, private val clock: Clock) {
@@ -22,7 +21,7 @@
 
     /** Listens on [address], whose requests go to [handler]. */
     fun listen(address: String, handler: RequestHandler) {
-        val local = InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+        val local = socketAddressOf(address)
         val bootstrap = ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel::class.java)
