Let a repeated request wait rather than go back to the upstream that failed it

Now such a request waits for a slot that the host holds elsewhere, and other requests pass it. Where the host holds no slot elsewhere it goes back, as before. Ruled out: the engine's own answer and the retry budget (the trace shows two attempts, both refused).

Before: the new test fails with [(retried, u0)]. After: it passes, with its counterpart.

--- a/core/src/main/kotlin/buckthornbay/core/pool/PoolHolder.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/PoolHolder.kt
@@ -188,7 +188,7 @@
         val effects = ArrayList<HolderEffect>()
         val order = ServiceOrder(accounts, plan)
         while (hasIdleSlot()) {
-            val request = order.next(queues, longAllowed()) ?: break
+            val request = order.next(queues, longAllowed()) { upstreamsFor(it).isNotEmpty() } ?: break
             val upstream = chooseUpstream(nowMillis, request) ?: break
             queues.getValue(request.workspace).remove(request)
             if (queues.getValue(request.workspace).size == 0) queues.remove(request.workspace)
@@ -224,11 +224,21 @@
     private fun idleAt(upstream: UpstreamId, count: Int): Int = count - (accounts.upstreams[upstream]?.inUse ?: 0)
 
     private fun chooseUpstream(nowMillis: Long, request: PoolRequest): UpstreamId? {
-        val idle = slots.filter { (upstream, count) -> idleAt(upstream, count) > 0 }.keys
-        request.preferred?.let { if (it in idle && it !in request.excluded && !lateness.isSuspect(nowMillis, it)) return it }
-        return idle.minWithOrNull(
-            compareBy({ it in request.excluded }, { lateness.isSuspect(nowMillis, it) }, { busyPart(it) }, { it.value }),
-        )
+        val idle = upstreamsFor(request)
+        request.preferred?.let { if (it in idle && !lateness.isSuspect(nowMillis, it)) return it }
+        return idle.minWithOrNull(compareBy({ lateness.isSuspect(nowMillis, it) }, { busyPart(it) }, { it.value }))
+    }
+
+    /**
+     * Returns the upstreams with an idle slot that may take [request].
+     *
+     * One that failed the request before is among them only where this host holds no slots elsewhere; a busy slot of another
+     * is worth the wait, since the failed one would most likely use up an attempt.
+     */
+    private fun upstreamsFor(request: PoolRequest): List<UpstreamId> {
+        val mayRepeat = request.excluded.containsAll(slots.keys)
+        return slots.filter { (upstream, count) -> idleAt(upstream, count) > 0 && (mayRepeat || upstream !in request.excluded) }
+            .keys.toList()
     }
 
     private fun busyPart(upstream: UpstreamId): Double =
--- a/core/src/main/kotlin/buckthornbay/core/pool/RequestQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/RequestQueue.kt
@@ -19,8 +19,9 @@
         if (index < 0) queue.addLast(request) else queue.add(index, request)
     }
 
-    /** Returns the request to serve next; a long one only where [longAllowed]. */
-    fun head(longAllowed: Boolean): PoolRequest? = short.firstOrNull() ?: if (longAllowed) long.firstOrNull() else null
+    /** Returns the request to serve next among those that [canRun]; a long one only where [longAllowed]. */
+    fun head(longAllowed: Boolean, canRun: (PoolRequest) -> Boolean): PoolRequest? =
+        short.firstOrNull(canRun) ?: if (longAllowed) long.firstOrNull(canRun) else null
 
     fun remove(request: PoolRequest) {
         val queue = queueOf(request)
--- a/core/src/main/kotlin/buckthornbay/core/pool/ServiceOrder.kt
+++ b/core/src/main/kotlin/buckthornbay/core/pool/ServiceOrder.kt
@@ -7,11 +7,11 @@
     private val normalizedUnits = HashMap<WorkspaceId, Double>()
     private val chargedUnits = accounts.chargedUnits()
 
-    fun next(queues: Map<WorkspaceId, RequestQueue>, longAllowed: Boolean): PoolRequest? {
+    fun next(queues: Map<WorkspaceId, RequestQueue>, longAllowed: Boolean, canRun: (PoolRequest) -> Boolean): PoolRequest? {
         var best: PoolRequest? = null
         var bestUnits = Double.POSITIVE_INFINITY
         for ((workspace, queue) in queues) {
-            val head = queue.head(longAllowed) ?: continue
+            val head = queue.head(longAllowed, canRun) ?: continue
             val units = normalizedOf(workspace)
             if (units < bestUnits) {
                 best = head
--- a/core/src/test/kotlin/buckthornbay/core/pool/PoolOwnerTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/pool/PoolOwnerTest.kt
@@ -11,6 +11,7 @@
 import buckthornbay.protocol.Service
 import buckthornbay.protocol.ServiceId
 import buckthornbay.protocol.ServiceKind
+import buckthornbay.protocol.SlotGrant
 import buckthornbay.protocol.Upstream
 import buckthornbay.protocol.UpstreamId
 import buckthornbay.protocol.WorkspaceDemand
@@ -152,6 +153,27 @@
         assertTrue(holder.arrive(501, request("q2")).none { it is HolderEffect.Dispatch })
     }
 
+    @Test
+    fun aRequestWaitsForABusyUpstreamRatherThanGoBackToTheOneThatFailedIt() {
+        val holder = PoolHolder(near, incarnation = 1, plan())
+        val slots = listOf(SlotGrant(UpstreamId("u0"), 1), SlotGrant(UpstreamId("u1"), 1))
+        holder.allocate(0, Allocation(pool, near, other, epoch = 1, version = 1, validForMillis = 5_000, slots = slots))
+        val busy = holder.arrive(1, request("busy").copy(excluded = setOf(UpstreamId("u0")))).dispatched()
+        assertEquals(listOf("busy" to "u1"), busy)
+        assertEquals(emptyList(), holder.arrive(2, request("retried").copy(excluded = setOf(UpstreamId("u0")))).dispatched())
+        assertEquals(listOf("fresh" to "u0"), holder.arrive(3, request("fresh")).dispatched())
+        assertEquals(listOf("retried" to "u1"), holder.end(9, RequestId("busy"), 1.0, AttemptOutcome.COMPLETED).dispatched())
+    }
+
+    @Test
+    fun aRequestGoesBackToTheUpstreamThatFailedItWhereTheHostHasNoOther() {
+        val holder = PoolHolder(near, incarnation = 1, plan())
+        val slots = listOf(SlotGrant(UpstreamId("u0"), 1))
+        holder.allocate(0, Allocation(pool, near, other, epoch = 1, version = 1, validForMillis = 5_000, slots = slots))
+        val retried = holder.arrive(1, request("retried").copy(excluded = setOf(UpstreamId("u0")))).dispatched()
+        assertEquals(listOf("retried" to "u0"), retried)
+    }
+
     @Test
     fun aWorkspaceThatFillsItsQueueIsRefusedAndTheOthersAreNot() {
         val holder = PoolHolder(near, incarnation = 1, plan().copy(queueLimits = mapOf(WorkspaceId("a") to 2)))
@@ -180,6 +202,9 @@
         assertEquals(ledger.normalizedOf(busy), ledger.normalizedOf(idler))
     }
 
+    private fun List<HolderEffect>.dispatched(): List<Pair<String, String>> =
+        filterIsInstance<HolderEffect.Dispatch>().map { it.request.id.value to it.upstream.value }
+
     private fun request(id: String) =
         PoolRequest(RequestId(id), WorkspaceId("a"), "short", false, 10.0, arrivedAtMillis = 0, deadlineAtMillis = 60_000)
 }
