Write the platform's documents in one place of testkit

The soak, the routers' test fixture and the scripted upstream each spelled the manifest, the registrations and the callers' headers. buildManifest, buildRegistration and callerRequest serve all three; the soak holds no name of the platform any more.

--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -11,9 +11,13 @@
 import buckthornbay.testkit.platform.PlatformStoreServer
 import buckthornbay.testkit.platform.ScriptedExchange
 import buckthornbay.testkit.platform.ScriptedUpstream
+import buckthornbay.testkit.platform.StandInRoute
+import buckthornbay.testkit.platform.StandInRouteKind
+import buckthornbay.testkit.platform.buildManifest
+import buckthornbay.testkit.platform.buildRegistration
+import buckthornbay.testkit.platform.callerRequest
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.json.Json
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -48,10 +52,16 @@
         zones = listOf(ZoneSettings(ZoneId("zone"), RegionId("region"))),
     )
 
-    /** Writes a manifest with the three routes and the one key that the tests use. */
-    fun manifest(change: (String) -> String = { it }) {
+    /** Writes a manifest with the four routes and the one workspace that the tests use; its routes are passed to [change]. */
+    fun manifest(change: (StandInRoute) -> StandInRoute = { it }) {
         version++
-        store.put("config", "main", Json.parseToJsonElement(change(MANIFEST.replace("VERSION", "$version"))))
+        val manifest = buildManifest(version) {
+            plainService("plain")
+            engineService("models")
+            ROUTES.map(change).forEach { route(it) }
+            workspace("growers", "key-1", "key-2")
+        }
+        store.put("config", "main", manifest)
     }
 
     /** Starts an upstream of [service] that answers by [script] and registers it under [id]. */
@@ -62,9 +72,7 @@
     }
 
     fun register(id: String, service: String, address: String, state: String = "ready", sequence: Int = 1) {
-        val entry = """{"Backend":"$service","Address":"$address","Zone":"zone","Version":"v1","Slots":8,""" +
-            """"State":"$state","ColdLeftMs":0,"Seq":$sequence,"born":1000}"""
-        store.put("servers", id, Json.parseToJsonElement(entry))
+        store.put("servers", id, buildRegistration(service, address, state, sequence))
     }
 
     /** Opens a caller's connection. */
@@ -124,20 +132,12 @@
             return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
         }
 
-        private const val MANIFEST = """{"Version":VERSION,"Routes":[
-            {"Name":"read","Hostname":"a.example","PathPrefix":"/read/","Type":"safe","TimeoutMs":2000,"GoalMs":300,"Priority":1,
-             "Backend":"plain","Attempts":2,"Public":false},
-            {"Name":"charge","Hostname":"a.example","PathPrefix":"/charge/","Type":"unsafe","TimeoutMs":2000,"GoalMs":300,
-             "Priority":1,"Backend":"plain","Attempts":1,"Public":false},
-            {"Name":"stream","Hostname":"a.example","PathPrefix":"/stream/","Type":"stream","TimeoutMs":2000,"GoalMs":300,
-             "Priority":1,"Backend":"models","Attempts":2,"Public":false,"Affinity":true,"Resumable":true,"GapAimMs":300},
-            {"Name":"once","Hostname":"a.example","PathPrefix":"/once/","Type":"stream","TimeoutMs":2000,"GoalMs":300,
-             "Priority":1,"Backend":"models","Attempts":1,"Public":false,"Affinity":true,"Resumable":false,"GapAimMs":300}],
-            "Services":[{"Name":"plain","HealthPath":"/healthz","MaxConns":100,"Protocol":"h1","Tls":false},
-            {"Name":"models","HealthPath":"/healthz","MaxConns":100,"Protocol":"h1","Tls":false,
-             "Engine":{"Slots":8,"KvCapacity":100000,"Models":[{"Name":"m"}]}}],
-            "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":10000,"HeaderTimeoutMs":400,"IdleTimeoutMs":1500,"TokensPerS":100000},
-            "Tenants":[{"Name":"growers","ApiKeys":["key-1","key-2"],"Priority":1}]}"""
+        private val ROUTES = listOf(
+            StandInRoute("read", "/read/", StandInRouteKind.REPEATABLE, "plain", attempts = 2),
+            StandInRoute("charge", "/charge/", StandInRouteKind.ONCE, "plain", attempts = 1),
+            StandInRoute("stream", "/stream/", StandInRouteKind.STREAM, "models", attempts = 2, resumable = true),
+            StandInRoute("once", "/once/", StandInRouteKind.STREAM, "models", attempts = 1),
+        )
     }
 }
 
@@ -213,5 +213,4 @@
 
 /** Returns a proper request for [path] with the headers that every caller sends, and [more]. */
 internal fun request(path: String, id: String = "id-1", method: String = "GET", body: String = "", more: String = ""): String =
-    "$method $path HTTP/1.1\r\nHost: a.example\r\nX-Buckthornbay-Attempt-Id: $id\r\nX-Buckthornbay-Deadline-Ms: 1800\r\n" +
-        "Authorization: Bearer key-1\r\n$more${if (body.isEmpty()) "" else "Content-Length: ${body.length}\r\n"}\r\n$body"
+    callerRequest(path, id, "key-1", method, body, more = more)
--- a/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
@@ -18,7 +18,7 @@
 
     private fun GatewayFixture.read(id: String = "id") = call(request("/read/x", id))
 
-    private fun GatewayFixture.withoutReadRoute() = manifest { it.replace("/read/", "/lesen/") }
+    private fun GatewayFixture.withoutReadRoute() = manifest { if (it.name == "read") it.copy(pathPrefix = "/lesen/") else it }
 
     @Test
     fun aHostStartsWhenTheStoreComesBack() = GatewayFixture.run(
--- a/soak/src/main/kotlin/buckthornbay/soak/Soak.kt
+++ b/soak/src/main/kotlin/buckthornbay/soak/Soak.kt
@@ -1,7 +1,7 @@
 package buckthornbay.soak
 
 import buckthornbay.testkit.platform.PlatformStoreServer
-import kotlinx.serialization.json.Json
+import buckthornbay.testkit.platform.buildManifest
 import org.apache.commons.rng.UniformRandomProvider
 import org.apache.commons.rng.simple.RandomSource
 import java.util.concurrent.atomic.AtomicBoolean
@@ -118,34 +118,15 @@
     }
 
     private fun writeManifest(store: PlatformStoreServer) {
-        val routes = SoakRoute.entries.filter {
-            version == 1 || it != SoakRoute.DROPPED
-        }.joinToString(",", transform = ::routeSpec)
-        store.put(
-            "config",
-            "main",
-            Json.parseToJsonElement(
-                """{"Version":$version,"Routes":[$routes],"Services":[{"Name":"plain","MaxConns":200},
-                {"Name":"models","MaxConns":200,"Engine":{"Slots":16,"KvCapacity":100000}}],
-                "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":10000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-                "Tenants":[{"Name":"w","ApiKeys":["key"],"Priority":1}]}""",
-            ),
-        )
-    }
-
-    private fun routeSpec(route: SoakRoute): String {
-        val kind = if (route == SoakRoute.STREAM) {
-            "stream"
-        } else if (route == SoakRoute.CHARGE) {
-            "unsafe"
-        } else {
-            "safe"
+        val manifest = buildManifest(version) {
+            plainService("plain")
+            engineService("models")
+            SoakRoute.entries.filter { version == 1 || it != SoakRoute.DROPPED }.forEach { route(it.inManifest()) }
+            workspace("workspace", SoakCaller.KEY)
+            headTimeoutMillis = HEAD_TIMEOUT_MILLIS
+            idleTimeoutMillis = IDLE_TIMEOUT_MILLIS
         }
-        val service = if (route == SoakRoute.STREAM) "models" else "plain"
-        val attempts = if (route == SoakRoute.CHARGE) 1 else 2
-        return """{"Name":"${route.name}","Hostname":"a.example","PathPrefix":"${route.path}","Type":"$kind",
-            "TimeoutMs":3000,"GoalMs":600,"Priority":1,"Backend":"$service",
-            "Attempts":$attempts,"Public":false,"Resumable":true,"GapAimMs":300}"""
+        store.put("config", "main", manifest)
     }
 
     private fun note(fault: String) {
@@ -170,6 +151,10 @@
         private const val READY_POLL_MILLIS = 50L
         private const val SEED_STRIDE = 1_000
 
+        /** Bounds that paused callers and hosts do not reach by themselves, in milliseconds. */
+        private const val HEAD_TIMEOUT_MILLIS = 3_000L
+        private const val IDLE_TIMEOUT_MILLIS = 15_000L
+
         /** Time from a change of the configuration to its being in force, in milliseconds; the platform's bound. */
         private const val CONFIG_MILLIS = 2_500L
 
--- a/soak/src/main/kotlin/buckthornbay/soak/SoakCallers.kt
+++ b/soak/src/main/kotlin/buckthornbay/soak/SoakCallers.kt
@@ -1,5 +1,9 @@
 package buckthornbay.soak
 
+import buckthornbay.testkit.platform.StandInRoute
+import buckthornbay.testkit.platform.StandInRouteKind
+import buckthornbay.testkit.platform.callerRequest
+import buckthornbay.testkit.platform.tokenDemandHeader
 import org.apache.commons.rng.UniformRandomProvider
 import java.io.BufferedInputStream
 import java.io.IOException
@@ -8,11 +12,30 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /** The routes that callers of a soak use. */
-public enum class SoakRoute(internal val path: String, internal val method: String) {
-    READ("/read/", "GET"),
-    CHARGE("/charge/", "POST"),
-    STREAM("/stream/", "POST"),
-    DROPPED("/dropped/", "GET"),
+public enum class SoakRoute(internal val path: String, internal val method: String, private val kind: StandInRouteKind) {
+    READ("/read/", "GET", StandInRouteKind.REPEATABLE),
+    CHARGE("/charge/", "POST", StandInRouteKind.ONCE),
+    STREAM("/stream/", "POST", StandInRouteKind.STREAM),
+    DROPPED("/dropped/", "GET", StandInRouteKind.REPEATABLE),
+    ;
+
+    internal val service: String get() = if (kind == StandInRouteKind.STREAM) "models" else "plain"
+
+    internal fun inManifest() = StandInRoute(
+        name,
+        path,
+        kind,
+        service,
+        attempts = if (kind == StandInRouteKind.ONCE) 1 else 2,
+        resumable = true,
+        timeoutMillis = SoakCaller.TIME_LIMIT_MILLIS,
+        targetMillis = TARGET_MILLIS,
+    )
+
+    private companion object {
+        /** Aimed time to an answer, in milliseconds; long enough that faults of half a second need not cost an answer. */
+        const val TARGET_MILLIS = 600L
+    }
 }
 
 /** What came back for one request. */
@@ -76,11 +99,15 @@
         socket = null
     }
 
-    private fun request(route: SoakRoute, id: String): String {
-        val body = if (route.method == "POST") "Content-Length: 1\r\n\r\nx" else "\r\n"
-        return "${route.method} ${route.path}x HTTP/1.1\r\nHost: a.example\r\nX-Buckthornbay-Attempt-Id: $id\r\n" +
-            "X-Buckthornbay-Deadline-Ms: 3000\r\nAuthorization: Bearer key\r\nX-Buckthornbay-Token-Count: 100,50\r\n$body"
-    }
+    private fun request(route: SoakRoute, id: String): String = callerRequest(
+        "${route.path}x",
+        id,
+        KEY,
+        method = route.method,
+        body = if (route.method == "POST") "x" else "",
+        remainingMillis = TIME_LIMIT_MILLIS,
+        more = tokenDemandHeader(promptTokens = 100, answerTokens = 50),
+    )
 
     private fun read(input: BufferedInputStream): CallerReply {
         val status = line(input).split(' ').getOrNull(1)?.toIntOrNull() ?: throw IOException("no answer")
@@ -123,15 +150,20 @@
         }
     }
 
-    private companion object {
-        const val OK = 200
-        const val SERVICE_UNAVAILABLE = 503
-        const val HEXADECIMAL = 16
-        const val REQUESTS_PER_CONNECTION = 20
-        const val CONNECT_MILLIS = 500
+    companion object {
+        /** The key that all callers use. */
+        const val KEY = "key"
+
+        /** The time limit that callers name, in milliseconds; the routes' own. */
+        const val TIME_LIMIT_MILLIS = 3_000L
+        private const val OK = 200
+        private const val SERVICE_UNAVAILABLE = 503
+        private const val HEXADECIMAL = 16
+        private const val REQUESTS_PER_CONNECTION = 20
+        private const val CONNECT_MILLIS = 500
 
         /** How long a caller waits for anything, in milliseconds; longer than the time limit it names. */
-        const val PATIENCE_MILLIS = 4_000
-        val EVENT_ID = Regex("id: (\\d+)\n")
+        private const val PATIENCE_MILLIS = 4_000
+        private val EVENT_ID = Regex("id: (\\d+)\n")
     }
 }
--- a/soak/src/main/kotlin/buckthornbay/soak/SoakUpstreams.kt
+++ b/soak/src/main/kotlin/buckthornbay/soak/SoakUpstreams.kt
@@ -3,7 +3,7 @@
 import buckthornbay.testkit.platform.PlatformStoreServer
 import buckthornbay.testkit.platform.ScriptedExchange
 import buckthornbay.testkit.platform.ScriptedUpstream
-import kotlinx.serialization.json.Json
+import buckthornbay.testkit.platform.buildRegistration
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
@@ -56,22 +56,18 @@
     }
 
     private fun register(upstream: Running, state: String, sequence: Int) {
-        val entry = """{"Backend":"${upstream.service}","Address":"${upstream.proxy.address}","Zone":"zone","Version":"v1",""" +
-            """"Slots":16,"State":"$state","ColdLeftMs":0,"Seq":$sequence,"born":1000}"""
-        store.put("servers", upstream.id, Json.parseToJsonElement(entry))
+        store.put("servers", upstream.id, buildRegistration(upstream.service, upstream.proxy.address, state, sequence))
     }
 
     private fun answer(upstream: Running, exchange: ScriptedExchange) {
-        val id = exchange.request.header("X-Buckthornbay-Attempt-Id").orEmpty()
+        val id = exchange.request.attemptId
         val lateMillis = lateMillis(upstream)
         if (lateMillis > 0) promises.reachedLeaving(id, lateMillis)
-        if (exchange.request.header("X-Buckthornbay-Expect-Instance") != upstream.id) {
+        if (exchange.request.expectedUpstream != upstream.id) {
             return exchange.answer("421 Misdirected Request", signed = false)
         }
         val bad = badOneIn > 0 && exchange.number % badOneIn == 0
-        if (bad && exchange.number % 2 == 0) {
-            return exchange.answer("503 Service Unavailable", more = "X-Buckthornbay-Not-Run: 1\r\n", signed = false)
-        }
+        if (bad && exchange.number % 2 == 0) return exchange.reject()
         promises.ran(id)
         if (exchange.request.line.contains("/stream/")) return stream(exchange, cutAt = if (bad) CUT_EVENT else null)
         Thread.sleep(WORK_MILLIS)
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/ScriptedUpstream.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/ScriptedUpstream.kt
@@ -16,6 +16,12 @@
 ) {
     /** Returns the first value of the header [name], or null. */
     public fun header(name: String): String? = headers.firstOrNull { it.first == name.lowercase() }?.second
+
+    /** The caller's id of the request. */
+    public val attemptId: String get() = header("X-Buckthornbay-Attempt-Id").orEmpty()
+
+    /** Id of the upstream that the router means to reach. */
+    public val expectedUpstream: String? get() = header("X-Buckthornbay-Expect-Instance")
 }
 
 /**
@@ -35,10 +41,15 @@
         write("HTTP/1.1 $status\r\n${genuineHeaders(signed)}${more}Content-Length: ${body.length}\r\n\r\n$body")
     }
 
+    /** Rejects the request as one that did not and will not run. */
+    public fun reject(status: String = "503 Service Unavailable") {
+        answer(status, more = "X-Buckthornbay-Not-Run: 1\r\n", signed = false)
+    }
+
     /** Returns the headers that every genuine answer to the request has. */
     public fun genuineHeaders(signed: Boolean = true): String {
         val seal = if (signed) "X-Buckthornbay-Server-Seal: seal-$number\r\n" else ""
-        return "X-Buckthornbay-Attempt-Id: ${request.header("x-buckthornbay-attempt-id")}\r\n$seal"
+        return "X-Buckthornbay-Attempt-Id: ${request.attemptId}\r\n$seal"
     }
 
     /** Closes the connection in an orderly way. */
