Copy shared prompt parts from the engine that keeps them

A request that goes elsewhere names the engine from which its parts are copied: one that this host had read them, else the part's first engine. Placement counts a copied token as 0.15 of one read, and as 0.5 where it isn't known that the part is kept.

--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -23,19 +23,22 @@
  * @property cost work that the upstream must do before its first answer: unread prompt tokens, or 1 for a plain service.
  * @property expectedMillis expected time to the first part of the answer, in milliseconds.
  * @property atHome whether it is the first engine for the request's shared part.
+ * @property copyFrom the engine from which the upstream should copy what that one keeps of the prompt; null for none.
  */
 public data class Choice(
     public val upstream: Candidate,
     public val cost: Double,
     public val expectedMillis: Double,
     public val atHome: Boolean,
+    public val copyFrom: Candidate? = null,
 )
 
 /**
  * Chooses the upstream with the least expected time, counting work that other upstreams would be spared.
  *
  * It answers load in which requests share long prompt parts and engines are nearly full: every host sends a part to the same
- * engine first, by rendezvous hashing, until waiting there costs more than reading the part elsewhere.
+ * engine first, by rendezvous hashing, until waiting there costs more than work elsewhere. There the part is copied from an
+ * engine that is believed to keep it, which takes a fraction of the time of reading it again.
  */
 public class Placement(private val region: RegionId, private val settings: PlacementSettings = PlacementSettings()) {
     /**
@@ -46,26 +49,59 @@
     public fun choose(nowMillis: Long, candidates: List<Candidate>, demand: TokenDemand?, patient: Boolean): Choice? {
         val usable = candidates.filter { it.trust.isUsable(nowMillis) }
         val home = demand?.sharedPart?.let { homeOf(it, usable) }
-        val offers = usable.map { offer(nowMillis, it, demand, it === home) }
+        val source = demand?.let { sourceOf(nowMillis, usable, it, home) }
+        val offers = usable.map { offer(nowMillis, it, demand, it === home, source) }
         val withRoom = offers.filter { it.upstream.load.hasRoom(nowMillis, it.cost) }
         val best = withRoom.minByOrNull { it.price } ?: return null
         val worthWaiting = patient && offers.any { it.price + settings.patiencePrice < best.price }
-        return if (worthWaiting) null else Choice(best.upstream, best.cost, best.expectedMillis, best.upstream === home)
+        if (worthWaiting) return null
+        return Choice(best.upstream, best.cost, best.expectedMillis, best.upstream === home, best.copyFrom)
     }
 
-    private class Offer(val upstream: Candidate, val cost: Double, val expectedMillis: Double, val price: Double)
+    private class Offer(
+        val upstream: Candidate,
+        val cost: Double,
+        val expectedMillis: Double,
+        val price: Double,
+        val copyFrom: Candidate?,
+    )
 
-    private fun offer(nowMillis: Long, candidate: Candidate, demand: TokenDemand?, isHome: Boolean): Offer {
-        val cost = costAt(nowMillis, candidate, demand, isHome)
+    /** An engine that keeps [tokens] of a prompt; [certain] where this host had it read them itself. */
+    private class PromptSource(val engine: Candidate, val tokens: Int, val certain: Boolean)
+
+    private fun sourceOf(nowMillis: Long, usable: List<Candidate>, demand: TokenDemand, home: Candidate?): PromptSource? {
+        val shared = demand.sharedTokens
+        val known = usable.filter { (it.cache?.cachedTokens(nowMillis, demand) ?: 0) >= shared }
+        val certain = known.firstOrNull { it === home } ?: known.firstOrNull()
+        return (certain ?: home)?.let { PromptSource(it, shared, certain != null) }
+    }
+
+    private fun offer(
+        nowMillis: Long,
+        candidate: Candidate,
+        demand: TokenDemand?,
+        isHome: Boolean,
+        source: PromptSource?,
+    ): Offer {
+        val cached = cachedAt(nowMillis, candidate, demand, isHome)
+        val copied = source?.takeIf { it.engine !== candidate && it.tokens - cached >= settings.leastCopiedTokens }
+        val cost = costOf(demand, cached, copied)
         val expectedMillis = expectedMillis(nowMillis, candidate, cost)
-        return Offer(candidate, cost, expectedMillis, expectedMillis + extraPrice(nowMillis, candidate, cost))
+        val price = expectedMillis + extraPrice(nowMillis, candidate, cost)
+        return Offer(candidate, cost, expectedMillis, price, copied?.engine)
     }
 
-    private fun costAt(nowMillis: Long, candidate: Candidate, demand: TokenDemand?, isHome: Boolean): Double {
-        if (demand == null) return 1.0
+    private fun cachedAt(nowMillis: Long, candidate: Candidate, demand: TokenDemand?, isHome: Boolean): Int {
+        if (demand == null) return 0
         val known = candidate.cache?.cachedTokens(nowMillis, demand) ?: 0
-        val cached = if (isHome) maxOf(known, demand.sharedTokens) else known
-        return (demand.promptTokens - cached).coerceAtLeast(settings.leastReadTokens).toDouble()
+        return if (isHome) maxOf(known, demand.sharedTokens) else known
+    }
+
+    private fun costOf(demand: TokenDemand?, cached: Int, copied: PromptSource?): Double {
+        if (demand == null) return 1.0
+        val copiedTokens = copied?.let { it.tokens - cached } ?: 0
+        val copyCost = copiedTokens * if (copied?.certain == true) settings.copyCost else settings.uncertainCopyCost
+        return (demand.promptTokens - cached - copiedTokens + copyCost).coerceAtLeast(settings.leastReadTokens.toDouble())
     }
 
     private fun expectedMillis(nowMillis: Long, candidate: Candidate, cost: Double): Double {
@@ -102,6 +138,9 @@
  * @property regionTrafficMillis wait that is accepted to spare the paid traffic between regions, in milliseconds.
  * @property failureMillis what a failed attempt costs, in milliseconds: a usual objective.
  * @property leastReadTokens tokens that an engine reads even of a prompt that it keeps.
+ * @property leastCopiedTokens tokens of a prompt below which copying them takes longer than reading them.
+ * @property copyCost work of copying a token in tokens read: engines copy some 600 tokens in a millisecond and read 80.
+ * @property uncertainCopyCost the same where it isn't known whether the other engine still keeps them.
  * @property patiencePrice advantage of another upstream for which a patient request waits, in milliseconds.
  */
 public data class PlacementSettings(
@@ -110,5 +149,8 @@
     public val regionTrafficMillis: Double = 10.0,
     public val failureMillis: Double = 600.0,
     public val leastReadTokens: Int = 16,
+    public val leastCopiedTokens: Int = 256,
+    public val copyCost: Double = 0.15,
+    public val uncertainCopyCost: Double = 0.5,
     public val patiencePrice: Double = 60.0,
 )
--- a/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
+++ b/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
@@ -16,6 +16,7 @@
  * @property notRun says that an upstream did not run the request.
  * @property tokenDemand sizes of prompt and answer.
  * @property promptParts shared parts of the prompt.
+ * @property copyFrom address of the engine from which an engine is to copy what that one keeps of the prompt.
  * @property routerOnly headers, in lower case, that only the router may set.
  * @property alwaysForwarded headers, in lower case, that no `Connection` header can take away.
  */
@@ -30,6 +31,7 @@
     public val notRun: String,
     public val tokenDemand: String,
     public val promptParts: String,
+    public val copyFrom: String,
     public val routerOnly: Set<String>,
     public val alwaysForwarded: Set<String>,
 )
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Dispatcher.kt
@@ -94,7 +94,8 @@
             workspace?.let { accounts.charge(nowMillis, it, demand.workTokens) }
             upstream.candidate.cache?.noteRead(nowMillis, demand)
         }
-        request.send(upstream, choice)
+        val copyFrom = choice.copyFrom?.let { source -> fresh.first { it.candidate === source } }
+        request.send(upstream, choice, copyFrom?.entry?.address)
         return true
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -104,8 +104,8 @@
     fun isPatient(nowMillis: Long): Boolean =
         nowMillis < context.admission.policy.patientUntilMillis(route, terms.arrivedAtMillis)
 
-    /** Sends the request to [upstream], which [choice] explains. */
-    fun send(upstream: UpstreamState, choice: Choice) {
+    /** Sends the request to [upstream], which [choice] explains and which copies prompt parts from [copyFrom]. */
+    fun send(upstream: UpstreamState, choice: Choice, copyFrom: String?) {
         waitTimer?.cancel(false)
         val resuming = lifecycle.state == RequestState.STREAMING
         if (!resuming) lifecycle.dispatched()
@@ -117,8 +117,8 @@
         val next = Attempt(id, upstream, context, route.kind == RouteKind.EVENT_STREAM, this)
         attempt = next
         val leftMillis = minOf(terms.callerWaitsUntilMillis, terms.deadlineAtMillis) - nowMillis
-        val request =
-            upstreamRequest(received, terms, context.callerInterface.headers, upstream.entry.id, leftMillis, progress.lastId)
+        val names = context.callerInterface.headers
+        val request = upstreamRequest(received, terms, names, upstream.entry.id, copyFrom, leftMillis, progress.lastId)
         next.start(request, if (route.repeatable) Long.MAX_VALUE else FRESH_CONNECTION_MILLIS)
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamRequest.kt
@@ -12,6 +12,7 @@
 /**
  * Writes a caller's request as the upstream [upstream] is to see it.
  *
+ * @param copyFrom address of the engine from which [upstream] copies prompt parts; null for none.
  * @param leftMillis how long an answer is of use, in milliseconds.
  * @param resumeAfter the last event that the caller has from an earlier attempt; null on the first one.
  */
@@ -20,12 +21,14 @@
     terms: RequestTerms,
     names: HeaderNames,
     upstream: UpstreamId,
+    copyFrom: String?,
     leftMillis: Long,
     resumeAfter: String?,
 ): FullHttpRequest {
     val headers = requestHeadersToForward(received.headers, names)
     headers.set(names.remainingMillis, leftMillis.coerceAtLeast(1))
     headers.set(names.expectedUpstream, upstream.value)
+    copyFrom?.let { headers.set(names.copyFrom, it) }
     terms.workspace?.let { headers.set(names.workspace, it.value) }
     resumeAfter?.let { headers.set(names.lastEventId, it) }
     val body = received.body
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.testkit.platform.ScriptedExchange
+import buckthornbay.testkit.platform.tokenDemandHeader
 import kotlinx.coroutines.delay
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -205,6 +206,26 @@
         assertEquals(2, upstream.requests.size)
     }
 
+    @Test
+    fun anEngineIsToldWhereASharedPartIsKeptWhenTheEngineThatReadItIsBusy() = GatewayFixture.run {
+        val engines = List(2) { number ->
+            upstream("models-$number", "models") { exchange ->
+                exchange.beginEvents()
+                exchange.events(1..1)
+                exchange.write("0\r\n\r\n")
+            }
+        }
+        awaitReady()
+        listOf(30_000, 11_000).forEachIndexed { number, promptTokens ->
+            val parts = "X-Buckthornbay-Prefix-Hash: 5c1e07a2:5000,91bd3f0$number:400\r\n"
+            val more = parts + tokenDemandHeader(promptTokens, answerTokens = 10)
+            assertTrue(call(request("/stream/x", "id-$number", method = "POST", body = "a", more = more)).whole)
+        }
+        val (reader, other) = engines.sortedBy { engine -> engine.requests.single().header("X-Buckthornbay-Attempt-Id") }
+        assertNull(reader.requests.single().header("Kv-Fetch"))
+        assertEquals(reader.address, other.requests.single().header("Kv-Fetch"))
+    }
+
     @Test
     fun aRouteTimeLimitEndsTheRequest() = GatewayFixture.run {
         upstream("plain-1", "plain") { Thread.sleep(4_000) }
