Let a part's second engine share its copies with the first

A part has a first and a second engine by rendezvous order. Requests that don't fit the first prefer the second, and each of the two copies from the other.

--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -48,14 +48,14 @@
      */
     public fun choose(nowMillis: Long, candidates: List<Candidate>, demand: TokenDemand?, patient: Boolean): Choice? {
         val usable = candidates.filter { it.trust.isUsable(nowMillis) }
-        val home = demand?.sharedPart?.let { homeOf(it, usable) }
-        val source = demand?.let { sourceOf(nowMillis, usable, it, home) }
-        val offers = usable.map { offer(nowMillis, it, demand, it === home, source) }
+        val homes = homesOf(demand?.sharedPart, usable)
+        val reader = demand?.let { readerOf(nowMillis, usable, it, homes) }
+        val offers = usable.map { offer(nowMillis, it, demand, homes, reader) }
         val withRoom = offers.filter { it.upstream.load.hasRoom(nowMillis, it.cost) }
         val best = withRoom.minByOrNull { it.price } ?: return null
         val worthWaiting = patient && offers.any { it.price + settings.patiencePrice < best.price }
         if (worthWaiting) return null
-        return Choice(best.upstream, best.cost, best.expectedMillis, best.upstream === home, best.copyFrom)
+        return Choice(best.upstream, best.cost, best.expectedMillis, best.upstream === homes.first, best.copyFrom)
     }
 
     private class Offer(
@@ -66,42 +66,36 @@
         val copyFrom: Candidate?,
     )
 
-    /** An engine that keeps [tokens] of a prompt; [certain] where this host had it read them itself. */
-    private class PromptSource(val engine: Candidate, val tokens: Int, val certain: Boolean)
+    /** The engines that every host prefers for a shared part, in this order. */
+    private class Homes(val first: Candidate?, val second: Candidate?)
 
-    private fun sourceOf(nowMillis: Long, usable: List<Candidate>, demand: TokenDemand, home: Candidate?): PromptSource? {
-        val shared = demand.sharedTokens
-        val known = usable.filter { (it.cache?.cachedTokens(nowMillis, demand) ?: 0) >= shared }
-        val certain = known.firstOrNull { it === home } ?: known.firstOrNull()
-        return (certain ?: home)?.let { PromptSource(it, shared, certain != null) }
-    }
+    /** An engine from which a prompt part may be copied; a copied token costs [tokenCost] tokens read. */
+    private class PromptSource(val engine: Candidate, val tokenCost: Double)
 
-    private fun offer(
-        nowMillis: Long,
-        candidate: Candidate,
-        demand: TokenDemand?,
-        isHome: Boolean,
-        source: PromptSource?,
-    ): Offer {
-        val cached = cachedAt(nowMillis, candidate, demand, isHome)
-        val copied = source?.takeIf { it.engine !== candidate && it.tokens - cached >= settings.leastCopiedTokens }
-        val cost = costOf(demand, cached, copied)
+    private fun offer(nowMillis: Long, candidate: Candidate, demand: TokenDemand?, homes: Homes, reader: Candidate?): Offer {
+        val known = demand?.let { candidate.cache?.cachedTokens(nowMillis, it) } ?: 0
+        val shared = demand?.sharedTokens ?: 0
+        val source = sourceFor(candidate, homes, reader).takeIf { shared - known >= settings.leastCopiedTokens }
+        val assumed = if (candidate === homes.first) maxOf(known, shared) else known
+        val cost = costOf(demand, assumed, source)
         val expectedMillis = expectedMillis(nowMillis, candidate, cost)
         val price = expectedMillis + extraPrice(nowMillis, candidate, cost)
-        return Offer(candidate, cost, expectedMillis, price, copied?.engine)
+        return Offer(candidate, cost, expectedMillis, price, source?.engine)
     }
 
-    private fun cachedAt(nowMillis: Long, candidate: Candidate, demand: TokenDemand?, isHome: Boolean): Int {
-        if (demand == null) return 0
-        val known = candidate.cache?.cachedTokens(nowMillis, demand) ?: 0
-        return if (isHome) maxOf(known, demand.sharedTokens) else known
+    /** The first engine is asked also by the second, in case it has read the part and the first one has not. */
+    private fun sourceFor(candidate: Candidate, homes: Homes, reader: Candidate?): PromptSource? = when {
+        reader != null && reader !== candidate -> PromptSource(reader, settings.copyCost)
+        candidate === homes.first -> homes.second?.let { PromptSource(it, settings.copyCost) }
+        candidate === homes.second -> homes.first?.let { PromptSource(it, settings.secondCopyCost) }
+        else -> homes.first?.let { PromptSource(it, settings.uncertainCopyCost) }
     }
 
-    private fun costOf(demand: TokenDemand?, cached: Int, copied: PromptSource?): Double {
+    private fun costOf(demand: TokenDemand?, cached: Int, source: PromptSource?): Double {
         if (demand == null) return 1.0
-        val copiedTokens = copied?.let { it.tokens - cached } ?: 0
-        val copyCost = copiedTokens * if (copied?.certain == true) settings.copyCost else settings.uncertainCopyCost
-        return (demand.promptTokens - cached - copiedTokens + copyCost).coerceAtLeast(settings.leastReadTokens.toDouble())
+        val copied = if (source == null) 0 else (demand.sharedTokens - cached).coerceAtLeast(0)
+        val copyCost = copied * (source?.tokenCost ?: 0.0)
+        return (demand.promptTokens - cached - copied + copyCost).coerceAtLeast(settings.leastReadTokens.toDouble())
     }
 
     private fun expectedMillis(nowMillis: Long, candidate: Candidate, cost: Double): Double {
@@ -117,8 +111,17 @@
         return failures + capacity + traffic
     }
 
-    private fun homeOf(part: String, candidates: List<Candidate>): Candidate? =
-        candidates.filter { it.cache != null }.maxByOrNull { scoreOf(part, it.id) }
+    private fun homesOf(part: String?, candidates: List<Candidate>): Homes {
+        if (part == null) return Homes(null, null)
+        val order = candidates.filter { it.cache != null }.sortedByDescending { scoreOf(part, it.id) }
+        return Homes(order.getOrNull(0), order.getOrNull(1))
+    }
+
+    /** Returns an engine that this host had read the shared parts of [demand], preferably the first one. */
+    private fun readerOf(nowMillis: Long, usable: List<Candidate>, demand: TokenDemand, homes: Homes): Candidate? {
+        val readers = usable.filter { (it.cache?.cachedTokens(nowMillis, demand) ?: 0) >= demand.sharedTokens }
+        return readers.firstOrNull { it === homes.first } ?: readers.firstOrNull()
+    }
 
     private fun scoreOf(part: String, upstream: UpstreamId): Long {
         val bytes = "$part|${upstream.value}".encodeToByteArray()
@@ -140,6 +143,7 @@
  * @property leastReadTokens tokens that an engine reads even of a prompt that it keeps.
  * @property leastCopiedTokens tokens of a prompt below which copying them takes longer than reading them.
  * @property copyCost work of copying a token in tokens read: engines copy some 600 tokens in a millisecond and read 80.
+ * @property secondCopyCost the same at a part's second engine, which either keeps it or copies it from the first.
  * @property uncertainCopyCost the same where it isn't known whether the other engine still keeps them.
  * @property patiencePrice advantage of another upstream for which a patient request waits, in milliseconds.
  */
@@ -151,6 +155,7 @@
     public val leastReadTokens: Int = 16,
     public val leastCopiedTokens: Int = 256,
     public val copyCost: Double = 0.15,
-    public val uncertainCopyCost: Double = 0.5,
+    public val secondCopyCost: Double = 0.35,
+    public val uncertainCopyCost: Double = 0.6,
     public val patiencePrice: Double = 60.0,
 )
