Read peers' messages in one place and drop what only tests used

Four decoders of peers' JSON caught and logged alike; readPeerBody serves all. FairQueue's takeExpired and workspaces had no caller outside its test, which now checks takeAll and workspacesWaitingSince.

--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -44,9 +44,6 @@
     public var size: Int = 0
         private set
 
-    /** The workspaces of which something waits. */
-    public val workspaces: Set<WorkspaceId> get() = byWorkspace.keys.filterNotNull().toSet()
-
     /** Returns the workspaces of which something has waited since [sinceMillis] or longer. */
     public fun workspacesWaitingSince(sinceMillis: Long): Set<WorkspaceId> =
         byWorkspace.filterValues { queue -> queue.any { it.arrivedAtMillis <= sinceMillis } }.keys.filterNotNull().toSet()
@@ -81,13 +78,6 @@
         }
     }
 
-    /** Takes out and returns all requests whose waiting has become useless. */
-    public fun takeExpired(nowMillis: Long): List<Waiting<T>> {
-        val expired = byWorkspace.values.flatMap { queue -> queue.filter { it.giveUpAtMillis <= nowMillis } }
-        expired.forEach(::remove)
-        return expired
-    }
-
     /** Takes out and returns all requests. */
     public fun takeAll(): List<Waiting<T>> = byWorkspace.values.flatten().also {
         byWorkspace.clear()
--- a/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
@@ -45,15 +45,15 @@
         queue.placeWhile(0) { waiting -> (waiting.id == "small").also { if (it) placed += waiting.id } }
         assertEquals(listOf("small"), placed)
         assertEquals(1, queue.size)
-        assertEquals(setOf(first), queue.workspaces)
+        assertEquals(setOf(first), queue.workspacesWaitingSince(0))
     }
 
     @Test
-    fun expiredRequestsAreTakenOutOnce() {
+    fun allThatWaitsIsTakenOutOnce() {
         val waiting = waiting("a", first)
         queue.add(waiting)
-        assertEquals(emptyList(), queue.takeExpired(499))
-        assertEquals(listOf(waiting), queue.takeExpired(500))
+        assertEquals(listOf(waiting), queue.takeAll())
+        assertEquals(emptyList(), queue.takeAll())
         assertFalse(queue.remove(waiting))
         assertTrue(queue.size == 0)
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
@@ -16,7 +16,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -64,7 +63,7 @@
 
     /** Answers what a peer told of its accounts. */
     fun answer(body: String): String {
-        val told = decode(body)
+        val told = decode(body, UNNAMED)
         told.forEach(::takeIn)
         val asker = told.firstOrNull() ?: return encode(emptyList())
         return encode(if (asker.zone == self.zone) restOfFleetFor(asker.source) else listOf(zoneSum(except = null)))
@@ -85,7 +84,7 @@
         val told = if (target.zone == self.zone) ownAccounts() else zoneSum(except = null)
         val call = HttpCall("POST", PATH, encode(listOf(told)))
         val reply = transport.call(target.url, call, CALL_TIMEOUT_MILLIS).getOrElse { return }
-        decode(reply.body).forEach(::takeIn)
+        decode(reply.body, target.url).forEach(::takeIn)
     }
 
     private fun takeIn(told: SourceAccounts) {
@@ -133,16 +132,15 @@
     private fun encode(told: List<SourceAccounts>): String =
         WireJson.encodeToString(ListSerializer(SourceAccounts.serializer()), told)
 
-    private fun decode(body: String): List<SourceAccounts> = try {
-        WireJson.decodeFromString(ListSerializer(SourceAccounts.serializer()), body)
-    } catch (e: SerializationException) {
-        log.warning("event=peer_unreadable reason=\"${e.message}\"")
-        emptyList()
-    }
+    private fun decode(body: String, peer: String): List<SourceAccounts> =
+        readPeerBody(ListSerializer(SourceAccounts.serializer()), body, peer, log).orEmpty()
 
     companion object {
         const val PATH = "/v1/peers/accounts"
 
+        /** Stands for a peer whose message can't be read, so that it isn't known which it is. */
+        private const val UNNAMED = "unnamed"
+
         /** Hosts up to which heartbeats between all pairs carry the accounts within about a second. */
         private const val SMALL_FLEET = 12
         private const val DUTY = "accounts"
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerBody.kt
@@ -0,0 +1,14 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.protocol.WireJson
+import kotlinx.serialization.DeserializationStrategy
+import kotlinx.serialization.SerializationException
+
+/** Reads the [body] that [peer] sent; returns null, and says why in [log], where it can't be read. */
+internal fun <T : Any> readPeerBody(deserializer: DeserializationStrategy<T>, body: String, peer: String, log: DecisionLog): T? =
+    try {
+        WireJson.decodeFromString(deserializer, body)
+    } catch (e: SerializationException) {
+        log.warning("event=peer_unreadable peer=$peer reason=\"${e.message}\"")
+        null
+    }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -24,7 +24,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.JsonElement
 import kotlin.math.roundToLong
 import kotlin.time.Duration.Companion.milliseconds
@@ -104,11 +103,9 @@
 
     /** Answers what a peer sent to [target]. */
     fun answer(target: String, body: String): HttpReply = when (target.substringBefore('?')) {
-        NEWS -> try {
-            HttpReply(OK, receive(WireJson.decodeFromString(PeerNews.serializer(), body)))
-        } catch (e: SerializationException) {
-            log.warning("event=peer_unreadable reason=\"${e.message}\"")
-            HttpReply(BAD_REQUEST, "")
+        NEWS -> {
+            val news = readPeerBody(PeerNews.serializer(), body, UNNAMED, log)
+            if (news == null) HttpReply(BAD_REQUEST, "") else HttpReply(OK, receive(news))
         }
         SNAPSHOT -> HttpReply(OK, WireJson.encodeToString(PeerSnapshot.serializer(), snapshotFor(target)))
         AccountsExchange.PATH -> HttpReply(OK, accountsExchange.answer(body))
@@ -124,15 +121,8 @@
         scope.launch {
             val body = WireJson.encodeToString(PeerNews.serializer(), news(out.heartbeat))
             val reply = transport.call(out.url, HttpCall("POST", NEWS, body), CALL_TIMEOUT_MILLIS).getOrElse { return@launch }
-            if (reply.status == OK && reply.body.isNotEmpty()) receiveReply(out.url, reply.body)
-        }
-    }
-
-    private fun receiveReply(url: String, body: String) {
-        try {
-            receive(WireJson.decodeFromString(PeerNews.serializer(), body))
-        } catch (e: SerializationException) {
-            log.warning("event=peer_unreadable peer=$url reason=\"${e.message}\"")
+            if (reply.status != OK || reply.body.isEmpty()) return@launch
+            readPeerBody(PeerNews.serializer(), reply.body, out.url, log)?.let(::receive)
         }
     }
 
@@ -171,11 +161,7 @@
     private suspend fun fetch(url: String) {
         val target = "$SNAPSHOT?$VERSION=${knowledge.configurationVersion}&$REVISION=${knowledge.registryRevision}"
         val reply = transport.call(url, HttpCall("GET", target), CALL_TIMEOUT_MILLIS).getOrElse { return }
-        val snapshot = try {
-            WireJson.decodeFromString(PeerSnapshot.serializer(), reply.body)
-        } catch (e: SerializationException) {
-            return log.warning("event=peer_unreadable peer=$url reason=\"${e.message}\"")
-        }
+        val snapshot = readPeerBody(PeerSnapshot.serializer(), reply.body, url, log) ?: return
         snapshot.configuration?.let { knowledge.offerConfiguration(it, url) }
         snapshot.registrations?.let { takeIn(it, url) }
     }
@@ -246,6 +232,9 @@
         const val SNAPSHOT = "/v1/peers/snapshot"
         const val VERSION = "configuration"
         const val REVISION = "registrations"
+
+        /** Stands for a peer whose message can't be read, so that it isn't known which it is. */
+        const val UNNAMED = "unnamed"
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
