--- /dev/null
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/EngineContractTest.kt
@@ -0,0 +1,81 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.testkit.platform.EngineBehavior
+import buckthornbay.testkit.platform.EngineFleet
+import buckthornbay.testkit.platform.EngineStandIn
+import buckthornbay.testkit.platform.tokenDemandHeader
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** What callers get from engines that read prompts by turns and keep shared parts. */
+class EngineContractTest {
+    private fun run(
+        engines: Int,
+        behavior: EngineBehavior = EngineBehavior(),
+        test: suspend GatewayFixture.(List<EngineStandIn>) -> Unit,
+    ) = GatewayFixture.run {
+        EngineFleet().use { fleet ->
+            val started = List(engines) { number ->
+                fleet.start(behavior).also { register("models-$number", "models", it.address) }
+            }
+            awaitReady()
+            test(started)
+        }
+    }
+
+    private fun GatewayFixture.ask(own: String, promptTokens: Int = 6_000, path: String = "/stream/x"): CallerAnswer {
+        val more = "X-Buckthornbay-Prefix-Hash: 5c1e07a2:5000,$own:400\r\n" + tokenDemandHeader(promptTokens, answerTokens = 10)
+        return call(request(path, "id-$own", method = "POST", body = "a", more = more))
+    }
+
+    @Test
+    fun aSharedPartIsReadOnceWhileItsEngineHasRoom() = run(engines = 3) { engines ->
+        listOf("a1", "a2", "a3").forEach { own ->
+            assertEquals(200, ask(own).status)
+            delay(SETTLE_MILLIS)
+        }
+        assertEquals(6_000L + 2 * 1_000, engines.sumOf { it.readTokens })
+    }
+
+    @Test
+    fun aSharedPartIsCopiedWhenItsEngineIsFull() = run(engines = 2) { engines ->
+        assertEquals(200, ask("b1").status)
+        coroutineScope {
+            val long = async(Dispatchers.IO) { ask("b2", promptTokens = 35_000) }
+            GatewayFixture.awaitTrue("the long request arrived") { engines.any { it.requests.size == 2 } }
+            assertEquals(200, ask("b3", promptTokens = 11_000).status)
+            assertEquals(200, long.await().status)
+        }
+        assertEquals(5_000L, engines.sumOf { it.copiedTokens })
+        assertEquals(6_000L + 30_000 + 6_000, engines.sumOf { it.readTokens })
+    }
+
+    @Test
+    fun aStreamGoesOnAtAnotherEngineWhenItsOwnBreaks() = run(engines = 2) { engines ->
+        engines.forEach { it.faults.breaksStreams = true }
+        coroutineScope {
+            val answer = async(Dispatchers.IO) { ask("c1") }
+            GatewayFixture.awaitTrue("the request arrived") { engines.any { it.requests.isNotEmpty() } }
+            engines.first { it.requests.isEmpty() }.faults.breaksStreams = false
+            assertTrue(answer.await().whole)
+        }
+    }
+
+    @Test
+    fun requestsThatAnEngineRejectsAreServedByAnother() = run(engines = 2) { engines ->
+        engines.first().faults.rejects = true
+        val answers = coroutineScope { List(6) { number -> async(Dispatchers.IO) { ask("d$number", 600) } }.awaitAll() }
+        assertEquals(List(6) { 200 }, answers.map { it.status })
+    }
+
+    private companion object {
+        /** Time in which the rate at one engine makes room again, in milliseconds. */
+        const val SETTLE_MILLIS = 150L
+    }
+}
