--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -105,7 +105,6 @@
         settings.listen.run { listOfNotNull(readiness, control, addresses, metrics) }.distinct()
             .forEach { listeners.listen(it, hostHandler) }
         scope.launch { keepUp() }
-        scope.launch { placeWaiting() }
         scope.launch { watcher.start(scope) }
         scope.launch { peers.start() }
         log.belief("event=started host=${settings.host} incarnation=$incarnation callers=${settings.listen.callers}")
@@ -164,18 +163,11 @@
             connections.closeStale()
             if (registry.expire(nowMillis).isNotEmpty()) knowledgeChanged()
             moveFromSilentUpstreams(nowMillis)
+            context.dispatcher.placeAll()
             delay(KEEP_UP_MILLIS.milliseconds)
         }
     }
 
-    /** Offers what waits to upstreams that time alone has made room at; answers that come in do so themselves. */
-    private suspend fun placeWaiting() {
-        while (true) {
-            if (context.dispatcher.waitingCount > 0) context.dispatcher.placeAll()
-            delay(PLACE_MILLIS.milliseconds)
-        }
-    }
-
     private fun moveFromSilentUpstreams(nowMillis: Long) {
         for (upstream in upstreams.all()) {
             val waiting = upstream.attempts.filter { nowMillis - it.sentAtMillis > SILENT_MILLIS }
@@ -251,9 +243,6 @@
         /** How often overdue things are looked for, in milliseconds: a tenth of the shortest bound that they have. */
         const val KEEP_UP_MILLIS = 200L
 
-        /** How often waiting requests are offered anew, in milliseconds: a tenth of the time that they wait at most. */
-        const val PLACE_MILLIS = 25L
-
         /**
          * How long an upstream that has work may send nothing at all, in milliseconds; engines send several events a second.
          */
