--- a/soak/src/main/kotlin/buckthornbay/soak/FaultInjector.kt
+++ b/soak/src/main/kotlin/buckthornbay/soak/FaultInjector.kt
@@ -25,6 +25,8 @@
         ::replaceUpstream,
         ::toggleBadAnswers,
         ::toggleBusyStore,
+        ::toggleSlowStore,
+        ::toggleLostReplies,
         ::forgetHistory,
         ::healLinks,
         ::healLinks,
@@ -40,6 +42,8 @@
     fun heal() {
         wakeAll()
         if (store.faults.busy) toggleBusyStore()
+        if (store.faults.delayMillis > 0) toggleSlowStore()
+        if (store.faults.losesReplies) toggleLostReplies()
         upstreams.badOneIn = 0
         healLinks()
         fleet.hosts.forEach { if (!it.isAlive) it.start() }
@@ -102,14 +106,28 @@
 
     private fun toggleBusyStore() {
         store.faults.busy = !store.faults.busy
-        soundness.store(!store.faults.busy)
-        note("the store is busy: ${store.faults.busy}")
+        storeChanged("the store is busy: ${store.faults.busy}")
+    }
+
+    private fun toggleSlowStore() {
+        store.faults.delayMillis = if (store.faults.delayMillis > 0) 0 else SLOW_STORE_MILLIS
+        storeChanged("the store takes ${store.faults.delayMillis} ms more")
+    }
+
+    private fun toggleLostReplies() {
+        store.faults.losesReplies = !store.faults.losesReplies
+        storeChanged("the store loses its replies to writes: ${store.faults.losesReplies}")
     }
 
     private fun forgetHistory() {
-        note("the store forgets its history")
         store.compact()
-        soundness.store(!store.faults.busy)
+        storeChanged("the store forgets its history")
+    }
+
+    private fun storeChanged(what: String) {
+        note(what)
+        val faults = store.faults
+        soundness.store(!faults.busy && faults.delayMillis == 0L && !faults.losesReplies)
     }
 
     private fun healLinks() {
@@ -125,5 +143,8 @@
 
     private companion object {
         const val BAD_ONE_IN = 7
+
+        /** Delay of each answer of a slow store, in milliseconds; longer than routers wait for one. */
+        const val SLOW_STORE_MILLIS = 1_500L
     }
 }
