--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -1,6 +1,5 @@
 package buckthornbay.router.gateway
 
-import buckthornbay.core.admission.RequestLikeness
 import buckthornbay.core.admission.Waiting
 import buckthornbay.core.admission.WaitingRank
 import buckthornbay.core.load.Choice
@@ -11,7 +10,6 @@
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestLifecycle
 import buckthornbay.core.request.RequestState
-import buckthornbay.core.routing.Route
 import buckthornbay.core.routing.RouteKind
 import buckthornbay.protocol.RequestEnd
 import buckthornbay.protocol.ServiceId
@@ -23,31 +21,6 @@
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
-/**
- * What a caller asked for, and under which bounds.
- *
- * @property likeness by what its caller is known when it comes back; null where that makes no difference.
- * @property rank which requests it goes before while it waits.
- * @property askedAtMillis when the caller first sent the request, in milliseconds; before [arrivedAtMillis] where it was turned
- * away.
- * @property arrivedAtMillis when the request was read whole, in milliseconds.
- * @property callerWaitsUntilMillis until when the caller waits, in milliseconds.
- * @property deadlineAtMillis when the request must have its whole answer, in milliseconds.
- */
-internal data class RequestTerms(
-    val id: String,
-    val route: Route,
-    val workspace: WorkspaceId?,
-    val service: ServiceId,
-    val demand: TokenDemand?,
-    val likeness: RequestLikeness?,
-    val rank: WaitingRank,
-    val askedAtMillis: Long,
-    val arrivedAtMillis: Long,
-    val callerWaitsUntilMillis: Long,
-    val deadlineAtMillis: Long,
-)
-
 /** A request of a caller from its arrival to its one end. */
 internal class ProxiedRequest(
     private val context: GatewayContext,
@@ -69,6 +42,7 @@
             refusalsDrawOnBudget = true,
         ),
     )
+    private val reply = CallerReply(context, terms, caller)
     private val progress = StreamProgress()
     private val times = StreamTimes()
     private var attempt: Attempt? = null
@@ -210,7 +184,7 @@
         lifecycle.answering()
         lifecycle.completed()
         finish("answered")
-        deliver(answer)
+        if (callerGone) answer.body.release() else reply.pass(answer)
     }
 
     override fun failed(attempt: Attempt, kind: FailureKind, reason: String) {
@@ -272,7 +246,7 @@
         finish("the time limit was reached")
         when {
             callerGone -> kept?.body?.release()
-            kept != null -> deliver(kept)
+            kept != null -> reply.pass(kept)
             else -> caller.fail(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer came within the time limit")
         }
     }
@@ -283,47 +257,18 @@
         finish(reason)
         when {
             callerGone -> kept?.body?.release()
-            kept != null -> deliver(kept)
-            end == RequestEnd.NOT_RUN -> refuseCaller(reason)
+            kept != null -> reply.pass(kept)
+            end == RequestEnd.NOT_RUN -> reply.refuse(reason)
             else -> caller.fail(HttpResponseStatus.BAD_GATEWAY, "the upstream failed: $reason")
         }
     }
 
-    private fun refuseCaller(reason: String) {
-        val nowMillis = context.clock.nowMillis()
-        val leftMillis = terms.callerWaitsUntilMillis - nowMillis
-        val retryAfterSeconds = twoDigits(context.admission.policy.retryAfterMillis(route, leftMillis) / MILLIS_PER_SECOND)
-        val inputs = RefusalInputs(
-            context.dispatcher.waitingCount,
-            workspaceId?.let { context.admission.shares.askedTokensPerSecond(nowMillis, it) } ?: 0.0,
-            context.admission.shares.shareTokensPerSecond(nowMillis),
-            retryAfterSeconds,
-        )
-        context.log.refused(terms, reason, inputs)
-        terms.likeness?.let { context.admission.patience.turnedAway(nowMillis, it, nowMillis - terms.askedAtMillis) }
-        caller.fail(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: $reason", retryAfterSeconds)
-    }
-
     /** Ends an answer that has begun so that the caller sees that it is not whole. */
     private fun breakOff(reason: String) {
         finish(reason)
         caller.abort()
     }
 
-    private fun deliver(answer: WholeAnswer) {
-        if (callerGone) {
-            answer.body.release()
-            return
-        }
-        val status = answer.status
-        if (!route.repeatable && status.code() in PROMISES_NOT_RUN) {
-            answer.body.release()
-            caller.fail(HttpResponseStatus.BAD_GATEWAY, "the upstream answered ${status.code()} without saying that nothing ran")
-            return
-        }
-        caller.answer(status, answerHeadersToForward(answer.headers), answer.body)
-    }
-
     private fun finish(reason: String) {
         if (ended) return
         ended = true
@@ -346,12 +291,8 @@
         /** Attempts beyond those that may run: upstreams that can't be reached or refuse unread cost the caller little. */
         const val UNREAD_SENDS = 3
         const val FIRST_SERVER_ERROR = 500
-        const val MILLIS_PER_SECOND = 1_000.0
 
         /** Longest idle time of a connection on which a request goes that may run once only, in milliseconds. */
         const val FRESH_CONNECTION_MILLIS = 1_500L
-
-        /** Statuses by which callers may take it that nothing ran. */
-        val PROMISES_NOT_RUN = setOf(408, 421, 429, 503)
     }
 }
