--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -48,6 +48,8 @@
      */
     public fun choose(nowMillis: Long, candidates: List<Candidate>, demand: TokenDemand?, patient: Boolean): Choice? {
         val usable = candidates.filter { it.trust.isUsable(nowMillis) }
+        // Under load nearly every call ends here; a part's engines need not be worked out for it.
+        if (usable.none { it.load.hasRoom(nowMillis, leastCostOf(demand)) }) return null
         val homes = homesOf(demand?.sharedPart, usable)
         val reader = demand?.let { readerOf(nowMillis, usable, it, homes) }
         val offers = usable.map { offer(nowMillis, it, demand, homes, reader) }
@@ -91,6 +93,8 @@
         else -> homes.first?.let { PromptSource(it, settings.uncertainCopyCost) }
     }
 
+    private fun leastCostOf(demand: TokenDemand?): Double = if (demand == null) 1.0 else settings.leastReadTokens.toDouble()
+
     private fun costOf(demand: TokenDemand?, cached: Int, source: PromptSource?): Double {
         if (demand == null) return 1.0
         val copied = if (source == null) 0 else (demand.sharedTokens - cached).coerceAtLeast(0)
--- a/core/src/main/kotlin/buckthornbay/core/load/UpstreamLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/UpstreamLoad.kt
@@ -41,7 +41,7 @@
     /** Requests of this host that the upstream has not ended. */
     public val inFlight: Int
 
-    /** Whether a request of [cost] may be sent now. */
+    /** Whether a request of [cost] may be sent now; where it may, one of less cost may as well. */
     public fun hasRoom(nowMillis: Long, cost: Double): Boolean
 
     /** Returns how long a request sent now is expected to wait before the upstream begins with it, in milliseconds. */
