Rank upstreams by one rendezvous function that hashes each name once

Placement had its own copy of the hash and worked it out anew in each comparison: for 78 engines a thousand times for one request. Terms of a request are built in a function of their own, and callers are known again only by requests that name prompt parts.

--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -1,8 +1,8 @@
 package buckthornbay.core.load
 
+import buckthornbay.core.membership.rendezvousOrder
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.UpstreamId
-import org.apache.commons.codec.digest.MurmurHash3
 
 /**
  * An upstream that a request may be sent to.
@@ -117,7 +117,7 @@
 
     private fun homesOf(part: String?, candidates: List<Candidate>): Homes {
         if (part == null) return Homes(null, null)
-        val order = candidates.filter { it.cache != null }.sortedByDescending { scoreOf(part, it.id) }
+        val order = rendezvousOrder(part, candidates.filter { it.cache != null }) { it.id.value }
         return Homes(order.getOrNull(0), order.getOrNull(1))
     }
 
@@ -127,11 +127,6 @@
         return readers.firstOrNull { it === homes.first } ?: readers.firstOrNull()
     }
 
-    private fun scoreOf(part: String, upstream: UpstreamId): Long {
-        val bytes = "$part|${upstream.value}".encodeToByteArray()
-        return MurmurHash3.hash128x64(bytes, 0, bytes.size, 0)[0]
-    }
-
     private companion object {
         const val LEAST_SUCCESS = 0.05
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -2,9 +2,10 @@
 
 import buckthornbay.core.admission.RequestLikeness
 import buckthornbay.core.admission.WaitingRank
-import buckthornbay.core.routing.Route
+import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.routing.RouteMatch
 import buckthornbay.core.routing.RouteTable
+import buckthornbay.protocol.ServiceId
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponseStatus
 
@@ -80,37 +81,53 @@
         if (remainingText != null && (remainingMillis == null || remainingMillis < 0)) {
             return turnAway(request, caller, id, BAD_REQUEST, "${names.remainingMillis} must be a number of milliseconds")
         }
+        val terms = termsOf(request, id, service, match, remainingMillis ?: match.route.timeoutMillis)
+        val proxied = ProxiedRequest(context, terms, request, caller)
+        context.requests += proxied
+        context.dispatcher.allowanceOf(service).requestArrived()
+        proxied.start()
+        return proxied
+    }
+
+    private fun termsOf(
+        request: ReceivedRequest,
+        id: String,
+        service: ServiceId,
+        match: RouteMatch.Found,
+        waitsMillis: Long,
+    ): RequestTerms {
         val nowMillis = context.clock.nowMillis()
-        val waitsMillis = remainingMillis ?: match.route.timeoutMillis
         val demand = context.callerInterface.tokenDemand(request.headers[names.tokenDemand], request.headers[names.promptParts])
-        val workspace = match.workspace?.id
-        val likeness = if (workspace == null || demand == null) null else RequestLikeness(match.route.name, workspace, demand)
+        val likeness = likenessOf(match, demand)
         val waitedMillis = likeness?.let { context.admission.patience.waitedMillis(nowMillis, it) } ?: 0
-        val terms = RequestTerms(
+        return RequestTerms(
             id = id,
             route = match.route,
-            workspace = workspace,
+            workspace = match.workspace?.id,
             service = service,
             demand = demand,
             likeness = likeness,
-            rank = rankOf(match.route, likeness, waitedMillis),
+            rank = rankOf(match, demand, waitedMillis),
             askedAtMillis = nowMillis - waitedMillis,
             arrivedAtMillis = nowMillis,
             callerWaitsUntilMillis = nowMillis + waitsMillis,
             deadlineAtMillis = nowMillis + minOf(waitsMillis, match.route.timeoutMillis),
         )
-        val proxied = ProxiedRequest(context, terms, request, caller)
-        context.requests += proxied
-        context.dispatcher.allowanceOf(service).requestArrived()
-        proxied.start()
-        return proxied
     }
 
-    private fun rankOf(route: Route, likeness: RequestLikeness?, waitedMillis: Long): WaitingRank {
-        if (likeness == null) return WaitingRank.DUE
-        val within = context.admission.shares.ask(context.clock.nowMillis(), likeness.workspace, likeness.demand.workTokens)
+    /** Without prompt parts requests of one workspace would be taken for each other. */
+    private fun likenessOf(match: RouteMatch.Found, demand: TokenDemand?): RequestLikeness? {
+        val workspace = match.workspace?.id ?: return null
+        if (demand == null || demand.parts.isEmpty()) return null
+        return RequestLikeness(match.route.name, workspace, demand)
+    }
+
+    private fun rankOf(match: RouteMatch.Found, demand: TokenDemand?, waitedMillis: Long): WaitingRank {
+        val workspace = match.workspace?.id
+        if (workspace == null || demand == null) return WaitingRank.DUE
+        val within = context.admission.shares.ask(context.clock.nowMillis(), workspace, demand.workTokens)
         return when {
-            waitedMillis >= (route.objectiveMillis ?: Long.MAX_VALUE) -> WaitingRank.LATE
+            waitedMillis >= (match.route.objectiveMillis ?: Long.MAX_VALUE) -> WaitingRank.LATE
             within -> WaitingRank.DUE
             else -> WaitingRank.BEYOND_SHARE
         }
