--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -97,8 +97,8 @@
         val next = Attempt(id, upstream, context, route.kind == RouteKind.EVENT_STREAM, this)
         attempt = next
         val leftMillis = minOf(terms.callerWaitsUntilMillis, terms.deadlineAtMillis) - nowMillis
-        val names = context.callerInterface.headers
-        val request = upstreamRequest(received, terms, names, upstream.entry.id, copyFrom, leftMillis, progress.lastId)
+        val attemptTerms = AttemptTerms(upstream.entry.id, copyFrom, leftMillis, progress.lastId)
+        val request = upstreamRequest(received, terms, context.callerInterface.headers, attemptTerms)
         next.start(request, if (route.repeatable) Long.MAX_VALUE else FRESH_CONNECTION_MILLIS)
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamRequest.kt
@@ -10,27 +10,27 @@
 import io.netty.handler.codec.http.HttpVersion
 
 /**
- * Writes a caller's request as the upstream [upstream] is to see it.
+ * What one attempt tells its upstream beside the caller's request.
  *
- * @param copyFrom address of the engine from which [upstream] copies prompt parts; null for none.
- * @param leftMillis how long an answer is of use, in milliseconds.
- * @param resumeAfter the last event that the caller has from an earlier attempt; null on the first one.
+ * @property copyFrom address of the engine from which the upstream copies prompt parts; null for none.
+ * @property leftMillis how long an answer is of use, in milliseconds.
+ * @property resumeAfter the last event that the caller has from an earlier attempt; null on the first one.
  */
+internal class AttemptTerms(val upstream: UpstreamId, val copyFrom: String?, val leftMillis: Long, val resumeAfter: String?)
+
+/** Writes a caller's request as the upstream of [attempt] is to see it. */
 internal fun upstreamRequest(
     received: ReceivedRequest,
     terms: RequestTerms,
     names: HeaderNames,
-    upstream: UpstreamId,
-    copyFrom: String?,
-    leftMillis: Long,
-    resumeAfter: String?,
+    attempt: AttemptTerms,
 ): FullHttpRequest {
     val headers = requestHeadersToForward(received.headers, names)
-    headers.set(names.remainingMillis, leftMillis.coerceAtLeast(1))
-    headers.set(names.expectedUpstream, upstream.value)
-    copyFrom?.let { headers.set(names.copyFrom, it) }
+    headers.set(names.remainingMillis, attempt.leftMillis.coerceAtLeast(1))
+    headers.set(names.expectedUpstream, attempt.upstream.value)
+    attempt.copyFrom?.let { headers.set(names.copyFrom, it) }
     terms.workspace?.let { headers.set(names.workspace, it.value) }
-    resumeAfter?.let { headers.set(names.lastEventId, it) }
+    attempt.resumeAfter?.let { headers.set(names.lastEventId, it) }
     val body = received.body
     val hadBody = received.headers.contains(HttpHeaderNames.CONTENT_LENGTH) ||
         received.headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
