--- a/core/src/main/kotlin/buckthornbay/core/admission/CallerPatience.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/CallerPatience.kt
@@ -32,12 +32,13 @@
     }
 
     /**
-     * Returns how long the caller of [request] has waited before it, in
-     * milliseconds; 0 on its first attempt.
+     * Returns how long the caller of [request] has waited before it, in milliseconds; 0 on its first attempt.
+     *
+     * Nobody waits for more than [longestMillis]; a like request that comes later is another one.
      */
-    public fun waitedMillis(nowMillis: Long, request: RequestLikeness): Long {
+    public fun waitedMillis(nowMillis: Long, request: RequestLikeness, longestMillis: Long): Long {
         val firstAtMillis = turnedAwayAtMillis.remove(request) ?: return 0
-        return nowMillis - firstAtMillis
+        return (nowMillis - firstAtMillis).takeIf { it <= longestMillis } ?: 0
     }
 
     private companion object {
--- a/core/src/test/kotlin/buckthornbay/core/admission/AdmissionPolicyTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/AdmissionPolicyTest.kt
@@ -59,21 +59,28 @@
     fun aCallerThatComesBackIsKnownByItsRequest() {
         val patience = CallerPatience()
         val first = likeness("own-1")
-        assertEquals(0, patience.waitedMillis(0, first))
+        assertEquals(0, patience.waitedMillis(0, first, LIMIT_MILLIS))
         patience.turnedAway(480, first, waitedMillis = 480)
-        assertEquals(0, patience.waitedMillis(900, likeness("own-2")))
-        assertEquals(1_900, patience.waitedMillis(1_900, first))
+        assertEquals(0, patience.waitedMillis(900, likeness("own-2"), LIMIT_MILLIS))
+        assertEquals(1_900, patience.waitedMillis(1_900, first, LIMIT_MILLIS))
         patience.turnedAway(2_000, first, waitedMillis = 2_000)
-        assertEquals(4_000, patience.waitedMillis(4_000, first))
-        assertEquals(0, patience.waitedMillis(9_000, first), "a caller that was served is remembered")
+        assertEquals(4_000, patience.waitedMillis(4_000, first, LIMIT_MILLIS))
+        assertEquals(0, patience.waitedMillis(9_000, first, LIMIT_MILLIS), "a caller that was served is remembered")
+    }
+
+    @Test
+    fun aLikeRequestAfterTheTimeLimitIsAnotherOne() {
+        val patience = CallerPatience()
+        patience.turnedAway(0, likeness("own-1"), waitedMillis = 0)
+        assertEquals(0, patience.waitedMillis(LIMIT_MILLIS + 1, likeness("own-1"), LIMIT_MILLIS))
     }
 
     @Test
     fun theCallersThatAreRememberedAreBounded() {
         val patience = CallerPatience()
         repeat(10_000) { patience.turnedAway(it.toLong(), likeness("own-$it"), waitedMillis = 0) }
-        assertEquals(0, patience.waitedMillis(10_000, likeness("own-0")))
-        assertEquals(1, patience.waitedMillis(10_000, likeness("own-9999")))
+        assertEquals(0, patience.waitedMillis(10_000, likeness("own-0"), LIMIT_MILLIS))
+        assertEquals(1, patience.waitedMillis(10_000, likeness("own-9999"), LIMIT_MILLIS))
     }
 
     @Test
@@ -93,4 +100,8 @@
         val parts = listOf(PromptPart("shared", 500), PromptPart(ownPart, 400))
         return RequestLikeness("r", WorkspaceId("w"), TokenDemand(1_200, 60, parts))
     }
+
+    private companion object {
+        const val LIMIT_MILLIS = 12_000L
+    }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -99,7 +99,8 @@
         val nowMillis = context.clock.nowMillis()
         val demand = context.callerInterface.tokenDemand(request.headers[names.tokenDemand], request.headers[names.promptParts])
         val likeness = likenessOf(match, demand)
-        val waitedMillis = likeness?.let { context.admission.patience.waitedMillis(nowMillis, it) } ?: 0
+        val waitedMillis =
+            likeness?.let { context.admission.patience.waitedMillis(nowMillis, it, match.route.timeoutMillis) } ?: 0
         return RequestTerms(
             id = id,
             route = match.route,
