--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/RecentEntries.kt
@@ -0,0 +1,11 @@
+package buckthornbay.core
+
+/** A map that keeps the [maxEntries] entries that were used last. */
+internal class RecentEntries<K, V>(private val maxEntries: Int) : LinkedHashMap<K, V>(INITIAL_ENTRIES, LOAD_FACTOR, true) {
+    override fun removeEldestEntry(eldest: MutableMap.MutableEntry<K, V>): Boolean = size > maxEntries
+
+    private companion object {
+        const val INITIAL_ENTRIES = 64
+        const val LOAD_FACTOR = 0.75f
+    }
+}
--- a/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
@@ -19,12 +19,11 @@
      * One that can't be on time any more may wait longer, because only load that falls can help it.
      */
     public fun giveUpAtMillis(route: Route, rank: WaitingRank, arrivedAtMillis: Long, deadlineAtMillis: Long): Long {
-        val objectiveMillis = route.objectiveMillis ?: route.timeoutMillis
         val latestMillis = deadlineAtMillis - settings.leastServiceMillis
         val limitMillis = if (rank == WaitingRank.LATE) {
             arrivedAtMillis + ((deadlineAtMillis - arrivedAtMillis) * settings.lateWaitingPart).toLong()
         } else {
-            arrivedAtMillis + (objectiveMillis * settings.waitingPart).toLong()
+            arrivedAtMillis + (objectiveOf(route) * settings.waitingPart).toLong()
         }
         return minOf(limitMillis, latestMillis)
     }
@@ -35,7 +34,7 @@
 
     /** Returns until when a request may hold out for the upstream that is best for all, in milliseconds. */
     public fun patientUntilMillis(route: Route, arrivedAtMillis: Long): Long =
-        arrivedAtMillis + ((route.objectiveMillis ?: route.timeoutMillis) * settings.patientPart).toLong()
+        arrivedAtMillis + (objectiveOf(route) * settings.patientPart).toLong()
 
     /**
      * Returns after which time a caller should come back that has [leftMillis] left, in milliseconds.
@@ -43,11 +42,13 @@
      * Callers are spread over the time that they can wait, so that those who were turned away together don't return together.
      */
     public fun retryAfterMillis(route: Route, leftMillis: Long): Double {
-        val objectiveMillis = (route.objectiveMillis ?: route.timeoutMillis).toDouble()
         val longestMillis = (leftMillis * settings.callerPatience).coerceAtLeast(0.0)
-        val shortestMillis = minOf(objectiveMillis * settings.shortestReturn, longestMillis)
+        val shortestMillis = minOf(objectiveOf(route) * settings.shortestReturn, longestMillis)
         return shortestMillis + random.nextDouble() * (longestMillis - shortestMillis)
     }
+
+    /** A route without an objective is on time until its time limit. */
+    private fun objectiveOf(route: Route): Long = route.objectiveMillis ?: route.timeoutMillis
 }
 
 /**
--- a/core/src/main/kotlin/buckthornbay/core/admission/CallerPatience.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/CallerPatience.kt
@@ -1,5 +1,6 @@
 package buckthornbay.core.admission
 
+import buckthornbay.core.RecentEntries
 import buckthornbay.core.load.TokenDemand
 import buckthornbay.protocol.WorkspaceId
 
@@ -19,16 +20,11 @@
  * objective.
  */
 public class CallerPatience {
-    private val turnedAwayAtMillis = LinkedHashMap<RequestLikeness, Long>(INITIAL_CALLERS, LOAD_FACTOR, true)
+    private val turnedAwayAtMillis = RecentEntries<RequestLikeness, Long>(MAX_CALLERS)
 
     /** Notes that [request], which its caller sent first [waitedMillis] ago, is turned away. */
     public fun turnedAway(nowMillis: Long, request: RequestLikeness, waitedMillis: Long) {
         turnedAwayAtMillis[request] = nowMillis - waitedMillis
-        val eldest = turnedAwayAtMillis.entries.iterator()
-        while (turnedAwayAtMillis.size > MAX_CALLERS && eldest.hasNext()) {
-            eldest.next()
-            eldest.remove()
-        }
     }
 
     /**
@@ -44,7 +40,5 @@
     private companion object {
         /** Callers that are remembered; at the size to design for, a host turns away a few hundred a second at most. */
         const val MAX_CALLERS = 2_048
-        const val INITIAL_CALLERS = 64
-        const val LOAD_FACTOR = 0.75f
     }
 }
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -84,12 +84,15 @@
         size = 0
     }
 
-    private fun inOrder(nowMillis: Long): List<Waiting<T>> = byWorkspace.values
-        .flatMap { it.take(OFFERED_EACH) }
-        .sortedWith(compareBy({ it.rank }, { recentTokensOf(nowMillis, it) }, { it.arrivedAtMillis }))
+    private fun inOrder(nowMillis: Long): List<Waiting<T>> = byWorkspace
+        .flatMap { (workspace, queue) ->
+            val recentTokens = workspace?.let { accounts.recentTokens(nowMillis, it) } ?: 0.0
+            queue.take(OFFERED_EACH).map { Offered(it, recentTokens) }
+        }
+        .sortedWith(compareBy({ it.waiting.rank }, { it.recentTokens }, { it.waiting.arrivedAtMillis }))
+        .map { it.waiting }
 
-    private fun recentTokensOf(nowMillis: Long, waiting: Waiting<T>): Double =
-        waiting.workspace?.let { accounts.recentTokens(nowMillis, it) } ?: 0.0
+    private class Offered<T>(val waiting: Waiting<T>, val recentTokens: Double)
 
     private companion object {
         /** Requests of one workspace that are offered in one round; the first may wait for an upstream that is full. */
--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -51,8 +51,9 @@
         // Under load nearly every call ends here; a part's engines need not be worked out for it.
         if (usable.none { it.load.hasRoom(nowMillis, leastCostOf(demand)) }) return null
         val homes = homesOf(demand?.sharedPart, usable)
-        val reader = demand?.let { readerOf(nowMillis, usable, it, homes) }
-        val offers = usable.map { offer(nowMillis, it, demand, homes, reader) }
+        val kept = usable.map { keptAt(nowMillis, it, demand) }
+        val reader = demand?.let { readerOf(kept, it, homes) }
+        val offers = kept.map { offer(nowMillis, it, demand, homes, reader) }
         val withRoom = offers.filter { it.upstream.load.hasRoom(nowMillis, it.cost) }
         val best = withRoom.minByOrNull { it.price } ?: return null
         val worthWaiting = patient && offers.any { it.price + settings.patiencePrice < best.price }
@@ -71,14 +72,20 @@
     /** The engines that every host prefers for a shared part, in this order. */
     private class Homes(val first: Candidate?, val second: Candidate?)
 
+    /** How many tokens at the beginning of the prompt this host knows [upstream] to keep. */
+    private class Kept(val upstream: Candidate, val tokens: Int)
+
     /** An engine from which a prompt part may be copied; a copied token costs [tokenCost] tokens read. */
     private class PromptSource(val engine: Candidate, val tokenCost: Double)
 
-    private fun offer(nowMillis: Long, candidate: Candidate, demand: TokenDemand?, homes: Homes, reader: Candidate?): Offer {
-        val known = demand?.let { candidate.cache?.cachedTokens(nowMillis, it) } ?: 0
+    private fun keptAt(nowMillis: Long, candidate: Candidate, demand: TokenDemand?) =
+        Kept(candidate, demand?.let { candidate.cache?.cachedTokens(nowMillis, it) } ?: 0)
+
+    private fun offer(nowMillis: Long, kept: Kept, demand: TokenDemand?, homes: Homes, reader: Candidate?): Offer {
+        val candidate = kept.upstream
         val shared = demand?.sharedTokens ?: 0
-        val source = sourceFor(candidate, homes, reader).takeIf { shared - known >= settings.leastCopiedTokens }
-        val assumed = if (candidate === homes.first) maxOf(known, shared) else known
+        val source = sourceFor(candidate, homes, reader).takeIf { shared - kept.tokens >= settings.leastCopiedTokens }
+        val assumed = if (candidate === homes.first) maxOf(kept.tokens, shared) else kept.tokens
         val cost = costOf(demand, assumed, source)
         val expectedMillis = expectedMillis(nowMillis, candidate, cost)
         val price = expectedMillis + extraPrice(nowMillis, candidate, cost)
@@ -122,8 +129,8 @@
     }
 
     /** Returns an engine that this host had read the shared parts of [demand], preferably the first one. */
-    private fun readerOf(nowMillis: Long, usable: List<Candidate>, demand: TokenDemand, homes: Homes): Candidate? {
-        val readers = usable.filter { (it.cache?.cachedTokens(nowMillis, demand) ?: 0) >= demand.sharedTokens }
+    private fun readerOf(kept: List<Kept>, demand: TokenDemand, homes: Homes): Candidate? {
+        val readers = kept.filter { it.tokens >= demand.sharedTokens }.map { it.upstream }
         return readers.firstOrNull { it === homes.first } ?: readers.firstOrNull()
     }
 
--- a/core/src/main/kotlin/buckthornbay/core/load/PlainLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/PlainLoad.kt
@@ -9,9 +9,8 @@
  * @param slots requests that the upstream runs at once, as its registration says.
  */
 public class PlainLoad(slots: Int, private val settings: PlainLoadSettings = PlainLoadSettings()) : UpstreamLoad {
-    private class Sent(val sentAtMillis: Long)
-
-    private val open = LinkedHashMap<String, Sent>()
+    /** When each request was sent that has not ended, in milliseconds. */
+    private val open = LinkedHashMap<String, Long>()
     private var slots = maxOf(1, slots)
     private var serviceMillis = settings.initialServiceMillis
     private var othersRequests = 0.0
@@ -32,7 +31,7 @@
     override fun serviceMillis(cost: Double): Double = serviceMillis
 
     override fun sent(nowMillis: Long, id: String, cost: Double) {
-        open[id] = Sent(nowMillis)
+        open[id] = nowMillis
     }
 
     override fun began(nowMillis: Long, id: String, report: LoadReport?) {
@@ -48,10 +47,10 @@
     }
 
     override fun ended(nowMillis: Long, id: String, outcome: SendOutcome) {
-        val sent = open.remove(id) ?: return
+        val sentAtMillis = open.remove(id) ?: return
         when (outcome) {
             SendOutcome.ANSWERED -> {
-                val sampleMillis = (nowMillis - sent.sentAtMillis).toDouble()
+                val sampleMillis = (nowMillis - sentAtMillis).toDouble()
                 serviceMillis += settings.smoothing * (sampleMillis - serviceMillis)
             }
             SendOutcome.REFUSED, SendOutcome.FAILED -> shrink(nowMillis)
--- a/core/src/main/kotlin/buckthornbay/core/load/TokenDemand.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/TokenDemand.kt
@@ -16,10 +16,10 @@
     public val parts: List<PromptPart>,
 ) {
     /** The name of the longest part that other requests share, or null where there is none. */
-    public val sharedPart: String? get() = parts.dropLast(1).lastOrNull()?.id
+    public val sharedPart: String? = parts.dropLast(1).lastOrNull()?.id
 
     /** Tokens of the parts that other requests share. */
-    public val sharedTokens: Int get() = parts.dropLast(1).sumOf { it.tokens }
+    public val sharedTokens: Int = parts.dropLast(1).sumOf { it.tokens }
 
     /** Tokens of work, an output token counted twice, as the operator counts a workspace's share. */
     public val workTokens: Double get() = promptTokens + OUTPUT_TOKEN_WEIGHT * maxOutputTokens
