Keep open connections, empty work and endings of requests in one place each

Found on reading the whole change again: - both request handlers kept their open connections alike; a connection enters and leaves the handler's set itself now. Both had an object for 'nothing is left to end'. - PeerExchange parsed a query beside queryOf, and both exchanges turned told tokens into numbers and named an unknown peer by constants of their own. - endLate and endAs differed in one line; Attempt.silent repeated Attempt.broken. - the waiting place of a request was looked up twice and checked for what the first look had shown.

Behaviour is as it was; no test was changed. The contract tests of callers, engines, store and upstreams pass (34), as does WholePathTest.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
@@ -63,7 +63,7 @@
 
     /** Answers what a peer told of its accounts. */
     fun answer(body: String): String {
-        val told = decode(body, UNNAMED)
+        val told = readPeerBody(FORMAT, body, log).orEmpty()
         told.forEach(::takeIn)
         val asker = told.firstOrNull() ?: return encode(emptyList())
         return encode(if (asker.zone == self.zone) restOfFleetFor(asker.source) else listOf(zoneSum(except = null)))
@@ -84,13 +84,13 @@
         val told = if (target.zone == self.zone) ownAccounts() else zoneSum(except = null)
         val call = HttpCall("POST", PATH, encode(listOf(told)))
         val reply = transport.call(target.url, call, CALL_TIMEOUT_MILLIS).getOrElse { return }
-        decode(reply.body, target.url).forEach(::takeIn)
+        readPeerBody(FORMAT, reply.body, log, target.url).orEmpty().forEach(::takeIn)
     }
 
     private fun takeIn(told: SourceAccounts) {
         val nowMillis = clock.nowMillis()
-        accounts.begun.hold(nowMillis, told.source, told.begun.mapValues { it.value.toDouble() })
-        accounts.asked.hold(nowMillis, told.source, told.asked.mapValues { it.value.toDouble() })
+        accounts.begun.hold(nowMillis, told.source, told.begun.toTokens())
+        accounts.asked.hold(nowMillis, told.source, told.asked.toTokens())
         accounts.backlog.receive(nowMillis, HostId(told.source), told.waiting)
     }
 
@@ -129,17 +129,12 @@
         )
     }
 
-    private fun encode(told: List<SourceAccounts>): String =
-        WireJson.encodeToString(ListSerializer(SourceAccounts.serializer()), told)
-
-    private fun decode(body: String, peer: String): List<SourceAccounts> =
-        readPeerBody(ListSerializer(SourceAccounts.serializer()), body, peer, log).orEmpty()
+    private fun encode(told: List<SourceAccounts>): String = WireJson.encodeToString(FORMAT, told)
 
     companion object {
         const val PATH = "/v1/peers/accounts"
 
-        /** Stands for a peer whose message can't be read, so that it isn't known which it is. */
-        private const val UNNAMED = "unnamed"
+        private val FORMAT = ListSerializer(SourceAccounts.serializer())
 
         /** Hosts up to which heartbeats between all pairs carry the accounts within about a second. */
         private const val SMALL_FLEET = 12
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -94,7 +94,7 @@
         val toClose = connection
         connection = null
         toClose?.abort()
-        fail(if (began) FailureKind.BROKEN_IN_ANSWER else FailureKind.BROKEN_BEFORE_ANSWER, SendOutcome.FAILED, reason)
+        broken(reason)
     }
 
     /** Stops or resumes reading of the answer. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -52,12 +52,12 @@
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
-        handler.connectionChanged(this, open = true)
+        handler.connections += this
         ctx.fireChannelActive()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
-        handler.connectionChanged(this, open = false)
+        handler.connections -= this
         closing = true
         work?.callerLeft()
         work = null
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -13,8 +13,7 @@
 internal class CallerHandler(private val context: GatewayContext, private val routes: () -> RouteTable?) : RequestHandler {
     private val names = context.callerInterface.headers
 
-    /** Connections that are open. */
-    val connections = LinkedHashSet<CallerConnection>()
+    override val connections = LinkedHashSet<CallerConnection>()
 
     /** Whether the host is about to stop: callers are asked to connect elsewhere. */
     override var closing = false
@@ -30,10 +29,6 @@
 
     override fun errorBody(message: String): String = context.callerInterface.errorBody(message)
 
-    override fun connectionChanged(connection: CallerConnection, open: Boolean) {
-        if (open) connections += connection else connections -= connection
-    }
-
     override fun refusedUnread(status: Int, reason: String) {
         context.log.turnedAway(id = null, status, reason)
     }
@@ -145,7 +140,7 @@
         request.body.release()
         context.log.turnedAway(id, status.code(), message)
         caller.fail(status, message, retryAfterSeconds)
-        return NoWork
+        return CallerWork.Done
     }
 
     private fun bearerKey(header: String): String? {
@@ -153,10 +148,6 @@
         return if (scheme.equals("Bearer", ignoreCase = true)) header.substringAfter(' ', "").trim() else null
     }
 
-    private object NoWork : CallerWork {
-        override fun callerLeft() = Unit
-    }
-
     private companion object {
         val BAD_REQUEST: HttpResponseStatus = HttpResponseStatus.BAD_REQUEST
         val UNAVAILABLE: HttpResponseStatus = HttpResponseStatus.SERVICE_UNAVAILABLE
--- a/router/src/main/kotlin/buckthornbay/router/gateway/HostHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HostHandler.kt
@@ -22,27 +22,17 @@
     RequestHandler {
     override val limits = ReadLimits(maxBodyBytes = 8_388_608, headerTimeoutMillis = 3_000, idleTimeoutMillis = 15_000)
     override val closing = false
-
-    /** Connections that are open. */
-    val connections = LinkedHashSet<CallerConnection>()
+    override val connections = LinkedHashSet<CallerConnection>()
 
     override fun errorBody(message: String): String = callerInterface.errorBody(message)
 
-    override fun connectionChanged(connection: CallerConnection, open: Boolean) {
-        if (open) connections += connection else connections -= connection
-    }
-
     override fun handle(request: ReceivedRequest, caller: CallerConnection): CallerWork {
         val answer = answer(request)
         request.body.release()
         val headers: HttpHeaders = uncheckedHeaders().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
         answer.headers.forEach { (name, value) -> headers.set(name, value) }
         caller.answer(answer.status, headers, Unpooled.copiedBuffer(answer.body, Charsets.UTF_8))
-        return Done
-    }
-
-    private object Done : CallerWork {
-        override fun callerLeft() = Unit
+        return CallerWork.Done
     }
 }
 
@@ -56,9 +46,9 @@
     return near + (alive - near.toSet()).sortedBy { it.host.value }.take(ENOUGH_HOSTS - near.size)
 }
 
-/** Returns the query parameters of [request] by name. */
-internal fun queryOf(request: ReceivedRequest): (String) -> String? {
-    val parameters = QueryStringDecoder(request.target).parameters()
+/** Returns the query parameters of a request's [target] by name. */
+internal fun queryOf(target: String): (String) -> String? {
+    val parameters = QueryStringDecoder(target).parameters()
     return { name -> parameters[name]?.firstOrNull() }
 }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -18,7 +18,6 @@
 import buckthornbay.store.HttpReply
 import buckthornbay.store.HttpTransport
 import com.github.michaelbull.result.getOrElse
-import io.netty.handler.codec.http.QueryStringDecoder
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -62,6 +61,9 @@
 /** Returns the tokens as whole numbers, as they are told to peers. */
 internal fun Map<WorkspaceId, Double>.rounded(): Map<WorkspaceId, Long> = mapValues { it.value.roundToLong() }
 
+/** Returns the tokens that a peer told. */
+internal fun Map<WorkspaceId, Long>.toTokens(): Map<WorkspaceId, Double> = mapValues { it.value.toDouble() }
+
 /** What a host knows from the store and the peer that asks does not. */
 @Serializable
 internal data class PeerSnapshot(
@@ -104,7 +106,7 @@
     /** Answers what a peer sent to [target]. */
     fun answer(target: String, body: String): HttpReply = when (target.substringBefore('?')) {
         NEWS -> {
-            val news = readPeerBody(PeerNews.serializer(), body, UNNAMED, log)
+            val news = readPeerBody(PeerNews.serializer(), body, log)
             if (news == null) HttpReply(BAD_REQUEST, "") else HttpReply(OK, receive(news))
         }
         SNAPSHOT -> HttpReply(OK, WireJson.encodeToString(PeerSnapshot.serializer(), snapshotFor(target)))
@@ -122,7 +124,7 @@
             val body = WireJson.encodeToString(PeerNews.serializer(), news(out.heartbeat))
             val reply = transport.call(out.url, HttpCall("POST", NEWS, body), CALL_TIMEOUT_MILLIS).getOrElse { return@launch }
             if (reply.status != OK || reply.body.isEmpty()) return@launch
-            readPeerBody(PeerNews.serializer(), reply.body, out.url, log)?.let(::receive)
+            readPeerBody(PeerNews.serializer(), reply.body, log, out.url)?.let(::receive)
         }
     }
 
@@ -161,7 +163,7 @@
     private suspend fun fetch(url: String) {
         val target = "$SNAPSHOT?$VERSION=${knowledge.configurationVersion}&$REVISION=${knowledge.registryRevision}"
         val reply = transport.call(url, HttpCall("GET", target), CALL_TIMEOUT_MILLIS).getOrElse { return }
-        val snapshot = readPeerBody(PeerSnapshot.serializer(), reply.body, url, log) ?: return
+        val snapshot = readPeerBody(PeerSnapshot.serializer(), reply.body, log, url) ?: return
         snapshot.configuration?.let { knowledge.offerConfiguration(it, url) }
         snapshot.registrations?.let { takeIn(it, url) }
     }
@@ -182,9 +184,9 @@
     }
 
     private fun snapshotFor(target: String): PeerSnapshot {
-        val query = QueryStringDecoder(target).parameters()
-        val version = query[VERSION]?.firstOrNull()?.toLongOrNull() ?: 0
-        val revision = query[REVISION]?.firstOrNull()?.toLongOrNull() ?: 0
+        val query = queryOf(target)
+        val version = query(VERSION)?.toLongOrNull() ?: 0
+        val revision = query(REVISION)?.toLongOrNull() ?: 0
         return PeerSnapshot(
             knowledge.configuration.takeIf { knowledge.configurationVersion > version },
             if (knowledge.registryRevision > revision) knowledge.registrationsSince(revision) else null,
@@ -225,16 +227,11 @@
         accounts.asked.forget(host)
     }
 
-    private fun Map<WorkspaceId, Long>.toTokens(): Map<WorkspaceId, Double> = mapValues { it.value.toDouble() }
-
     private companion object {
         const val NEWS = "/v1/peers/news"
         const val SNAPSHOT = "/v1/peers/snapshot"
         const val VERSION = "configuration"
         const val REVISION = "registrations"
-
-        /** Stands for a peer whose message can't be read, so that it isn't known which it is. */
-        const val UNNAMED = "unnamed"
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -212,8 +212,7 @@
     private fun queue() {
         if (lifecycle.state != RequestState.STREAMING) lifecycle.queued()
         context.dispatcher.submit(this)
-        if (waiting == null || ended) return
-        val leftMillis = checkNotNull(waiting) { "the request waits" }.giveUpAtMillis - context.clock.nowMillis()
+        val leftMillis = (waiting ?: return).giveUpAtMillis - context.clock.nowMillis()
         waitTimer = context.eventLoop.schedule(::waitOver, leftMillis.coerceAtLeast(0), TimeUnit.MILLISECONDS)
     }
 
@@ -240,26 +239,27 @@
         }
     }
 
-    private fun endLate() {
-        val kept = failedAnswer
-        failedAnswer = null
-        finish("the time limit was reached")
-        when {
-            callerGone -> kept?.body?.release()
-            kept != null -> reply.pass(kept)
-            else -> caller.fail(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer came within the time limit")
+    private fun endLate() = endUnanswered("the time limit was reached") {
+        caller.fail(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer came within the time limit")
+    }
+
+    private fun endAs(end: RequestEnd, reason: String) = endUnanswered(reason) {
+        if (end == RequestEnd.NOT_RUN) {
+            reply.refuse(reason)
+        } else {
+            caller.fail(HttpResponseStatus.BAD_GATEWAY, "the upstream failed: $reason")
         }
     }
 
-    private fun endAs(end: RequestEnd, reason: String) {
+    /** Passes on the failure that an upstream answered, where one is kept, and else tells the caller by [tell]. */
+    private fun endUnanswered(reason: String, tell: () -> Unit) {
         val kept = failedAnswer
         failedAnswer = null
         finish(reason)
         when {
             callerGone -> kept?.body?.release()
             kept != null -> reply.pass(kept)
-            end == RequestEnd.NOT_RUN -> reply.refuse(reason)
-            else -> caller.fail(HttpResponseStatus.BAD_GATEWAY, "the upstream failed: $reason")
+            else -> tell()
         }
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/RequestHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/RequestHandler.kt
@@ -23,8 +23,8 @@
     /** Writes the body of an error that the connection itself sends. */
     fun errorBody(message: String): String
 
-    /** A connection was opened or closed. */
-    fun connectionChanged(connection: CallerConnection, open: Boolean) = Unit
+    /** Connections that are open; each enters and leaves by itself. */
+    val connections: MutableSet<CallerConnection>
 
     /** Something that callers sent was refused before it was a request. */
     fun refusedUnread(status: Int, reason: String) = Unit
@@ -37,6 +37,11 @@
 
     /** The caller's connection takes bytes again, or does not. */
     fun writable(writable: Boolean) = Unit
+
+    /** Stands for a request that was answered at once. */
+    object Done : CallerWork {
+        override fun callerLeft() = Unit
+    }
 }
 
 /** Bounds on what callers may send; see `CallerLimits`. */
