Share free ports, listeners and the reading of HTTP between stand-ins, tests and soak

The tests keep their assertions. What is read is judged as before or more strictly: a head that is cut is not whole any more, nor is a last chunk without its end. A reset within a body is told as 'not whole' to the contract tests, which failed on the exception before; a line that is no status still fails them.

--- a/operator/src/main/kotlin/buckthornbay/operator/DemoCommand.kt
+++ b/operator/src/main/kotlin/buckthornbay/operator/DemoCommand.kt
@@ -6,6 +6,7 @@
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.ZoneId
 import buckthornbay.router.RouterSettings
+import buckthornbay.router.freeLoopbackPorts
 import buckthornbay.router.routerProcess
 import buckthornbay.store.DesiredStateStore
 import buckthornbay.testkit.EngineFaults
@@ -25,7 +26,6 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.File
-import java.net.ServerSocket
 
 internal class StandInsCommand : CliktCommand(name = "stand-ins") {
     private val file by argument(help = "The desired state, a TOML file.").file(mustExist = true, canBeDir = false)
@@ -78,7 +78,7 @@
 
     private suspend fun ResourceScope.startRouters(standIns: StandIns): List<String> {
         val regions = standIns.state.upstreams.map { it.region to it.zone }.distinct()
-        val ports = List(hosts) { ServerSocket(0).use { socket -> socket.localPort } }
+        val ports = freeLoopbackPorts(hosts)
         val urls = ports.map { "http://127.0.0.1:$it" }
         ports.forEachIndexed { index, port ->
             val (region, zone) = regions[index % regions.size]
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Rehearsal.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Rehearsal.kt
@@ -5,6 +5,7 @@
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.ZoneId
+import buckthornbay.router.freeLoopbackPorts
 import buckthornbay.store.HttpCall
 import buckthornbay.store.SystemClock
 import com.github.michaelbull.result.getOrElse
@@ -13,8 +14,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.withContext
-import java.net.InetAddress
-import java.net.ServerSocket
 
 /**
  * Runs a router once against [script] on loopback, so that the virtual machine can record the classes that serving needs.
@@ -22,8 +21,11 @@
  * A router that starts from that record answers sooner, which counts where all hosts restart at once.
  */
 internal class Rehearsal(private val deployment: Deployment, private val script: RehearsalScript) {
-    private val listen = ListenSettings(freeAddress(), freeAddress(), freeAddress(), freeAddress())
-    private val surroundings = freeAddress()
+    private val addresses = freeLoopbackPorts(ADDRESSES).map { "127.0.0.1:$it" }
+    private val listen = ListenSettings(addresses[0], addresses[1], addresses[2], addresses[3])
+
+    /** Where the stand-in of store and upstreams listens. */
+    private val surroundings = addresses.last()
 
     /** Serves each of the script's requests [rounds] times; returns how many were answered with success. */
     suspend fun run(rounds: Int): Int = resourceScope {
@@ -74,9 +76,8 @@
         zones = listOf(ZoneSettings(ZoneId("zone"), RegionId("region"))),
     )
 
-    private fun freeAddress(): String = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { "127.0.0.1:${it.localPort}" }
-
     private companion object {
+        const val ADDRESSES = 5
         const val TIMEOUT_MILLIS = 1_000L
     }
 }
--- a/router/src/test/kotlin/buckthornbay/router/TestFleet.kt
+++ b/router/src/test/kotlin/buckthornbay/router/TestFleet.kt
@@ -25,7 +25,6 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.apache.commons.codec.digest.DigestUtils
-import java.net.ServerSocket
 
 internal const val TEST_OPERATOR_KEY = "test-operator-key"
 private const val LIVENESS_MILLIS = 30_000L
@@ -57,7 +56,7 @@
 
 private suspend fun ResourceScope.startFleet(hosts: Int, state: DesiredState): TestFleet {
     val standIns = standIns(state)
-    val ports = List(hosts) { ServerSocket(0).use { it.localPort } }
+    val ports = freeLoopbackPorts(hosts)
     val urls = ports.map { "http://127.0.0.1:$it" }
     val routers = ports.mapIndexed { index, port -> routerProcess(testSettings(index, port, urls, standIns.platformUrl)) }
     val client = install({ HttpClient(Java) { expectSuccess = false } }, { client, _ -> client.close() })
--- a/router/src/test/kotlin/buckthornbay/router/gateway/EngineContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/EngineContractTest.kt
@@ -1,5 +1,6 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.testkit.platform.CallerAnswer
 import buckthornbay.testkit.platform.EngineBehavior
 import buckthornbay.testkit.platform.EngineFleet
 import buckthornbay.testkit.platform.EngineStandIn
--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -8,6 +8,8 @@
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.ZoneId
+import buckthornbay.router.freeLoopbackPorts
+import buckthornbay.testkit.platform.CallerAnswer
 import buckthornbay.testkit.platform.PlatformStoreServer
 import buckthornbay.testkit.platform.ScriptedExchange
 import buckthornbay.testkit.platform.ScriptedUpstream
@@ -16,11 +18,11 @@
 import buckthornbay.testkit.platform.buildManifest
 import buckthornbay.testkit.platform.buildRegistration
 import buckthornbay.testkit.platform.callerRequest
+import buckthornbay.testkit.platform.readCallerAnswer
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
+import java.net.SocketException
 import java.net.SocketTimeoutException
 import kotlin.test.fail
 
@@ -29,7 +31,7 @@
     AutoCloseable {
     private val upstreams = ArrayList<ScriptedUpstream>()
     private var version = 0
-    private val ports = freePorts(4)
+    private val ports = freeLoopbackPorts(4)
     val settings = GatewaySettings(
         host = HostId(name),
         region = RegionId("region"),
@@ -127,11 +129,6 @@
             }
         }
 
-        private fun freePorts(count: Int): List<Int> {
-            val sockets = List(count) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
-            return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
-        }
-
         private val ROUTES = listOf(
             StandInRoute("read", "/read/", StandInRouteKind.REPEATABLE, "plain", attempts = 2),
             StandInRoute("charge", "/charge/", StandInRouteKind.ONCE, "plain", attempts = 1),
@@ -141,12 +138,6 @@
     }
 }
 
-/**
- * An answer as a caller sees it; [body] holds the bytes after decoding of chunks, [whole] tells whether it ended as it
- * should.
- */
-internal class CallerAnswer(val status: Int, val headers: Map<String, String>, val body: String, val whole: Boolean)
-
 /** A caller's connection that sends what it is told, also what is no request. */
 internal class CallerSocket(address: String) : AutoCloseable {
     private val socket = Socket("127.0.0.1", address.substringAfterLast(':').toInt()).apply { soTimeout = 6_000 }
@@ -157,15 +148,9 @@
         socket.getOutputStream().flush()
     }
 
-    fun answer(): CallerAnswer {
-        val status = (line() ?: return CallerAnswer(NO_ANSWER, emptyMap(), "", whole = false)).split(' ')[1].toInt()
-        val headers = generateSequence { line()?.takeIf { it.isNotEmpty() } }
-            .associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
-        if (headers["transfer-encoding"] == "chunked") return chunked(status, headers)
-        val length = headers["content-length"]?.toInt() ?: 0
-        val bytes = input.readNBytes(length)
-        return CallerAnswer(status, headers, bytes.decodeToString(), bytes.size == length)
-    }
+    /** Reads an answer; a reset ends it, and one that does not come in time fails the test. */
+    fun answer(): CallerAnswer =
+        readCallerAnswer(input, endsIt = { it is SocketException }) ?: CallerAnswer(NO_ANSWER, emptyMap(), "", whole = false)
 
     /** Returns whether the other end closes the connection within [millis] milliseconds. */
     fun isClosedWithin(millis: Int): Boolean {
@@ -181,30 +166,6 @@
 
     override fun close() = socket.close()
 
-    private fun chunked(status: Int, headers: Map<String, String>): CallerAnswer {
-        val body = StringBuilder()
-        while (true) {
-            val size = line()?.trim()?.toIntOrNull(16) ?: return CallerAnswer(status, headers, body.toString(), whole = false)
-            body.append(input.readNBytes(size).decodeToString())
-            line()
-            if (size == 0) return CallerAnswer(status, headers, body.toString(), whole = true)
-        }
-    }
-
-    private fun line(): String? {
-        val line = StringBuilder()
-        while (true) {
-            val byte = try {
-                input.read()
-            } catch (_: java.net.SocketException) {
-                -1
-            }
-            if (byte < 0) return null
-            if (byte == '\n'.code) return line.toString().trimEnd('\r')
-            line.append(byte.toChar())
-        }
-    }
-
     companion object {
         /** Stands for a connection that was closed without an answer. */
         const val NO_ANSWER = -1
--- a/soak/src/main/kotlin/buckthornbay/soak/FaultProxy.kt
+++ b/soak/src/main/kotlin/buckthornbay/soak/FaultProxy.kt
@@ -1,8 +1,7 @@
 package buckthornbay.soak
 
+import buckthornbay.testkit.platform.LoopbackListener
 import java.io.IOException
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
@@ -29,19 +28,16 @@
 public class FaultProxy(private val target: String) : AutoCloseable {
     private class Link(val near: Socket, val far: Socket)
 
-    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val links = CopyOnWriteArrayList<Link>()
 
-    /** Where the proxy listens, as `IP:PORT`. */
-    public val address: String = "127.0.0.1:${listener.localPort}"
-
     /** What is done with bytes now. */
     @Volatile
     public var fault: LinkFault = LinkFault.NONE
 
-    init {
-        thread(isDaemon = true) { acceptAll() }
-    }
+    private val listener = LoopbackListener { near -> if (fault == LinkFault.REFUSED) near.close() else open(near) }
+
+    /** Where the proxy listens, as `IP:PORT`. */
+    public val address: String = listener.address
 
     /** Resets every open connection. */
     public fun resetAll() {
@@ -59,17 +55,6 @@
         resetAll()
     }
 
-    private fun acceptAll() {
-        while (!listener.isClosed) {
-            val near = try {
-                listener.accept()
-            } catch (_: IOException) {
-                return
-            }
-            if (fault == LinkFault.REFUSED) near.close() else open(near)
-        }
-    }
-
     private fun open(near: Socket) {
         val far = try {
             Socket("127.0.0.1", target.substringAfterLast(':').toInt())
@@ -101,7 +86,6 @@
     }
 
     private companion object {
-        const val BACKLOG = 64
         const val BUFFER_BYTES = 16_384
 
         /** Delay of a slow link, in milliseconds: some round trips between regions. */
--- a/soak/src/main/kotlin/buckthornbay/soak/RouterFleet.kt
+++ b/soak/src/main/kotlin/buckthornbay/soak/RouterFleet.kt
@@ -1,10 +1,9 @@
 package buckthornbay.soak
 
+import buckthornbay.router.freeLoopbackPorts
 import buckthornbay.router.gateway.readGatewaySettings
 import java.io.File
 import java.io.IOException
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.TimeUnit
 
@@ -14,15 +13,16 @@
     private val files: FleetFiles,
     private val storeAddress: String,
 ) {
-    private val readinessPort = freePort()
-    private val addressesPort = freePort()
+    private val ports = freeLoopbackPorts(PORTS)
+    private val readinessPort = ports[0]
+    private val addressesPort = ports[1]
     private val settings = File(files.directory, "router-$number.toml")
     private val output = File(files.directory, "router-$number.log")
     private var process: Process? = null
 
     /** Where callers connect. */
-    public val callersAddress: String = "127.0.0.1:${freePort()}"
-    internal val controlAddress: String = "127.0.0.1:${freePort()}"
+    public val callersAddress: String = "127.0.0.1:${ports[2]}"
+    internal val controlAddress: String = "127.0.0.1:${ports[3]}"
 
     /** Whether the process runs. */
     public val isAlive: Boolean get() = process?.isAlive == true
@@ -94,9 +94,8 @@
     }
 
     private companion object {
+        const val PORTS = 4
         const val READY_TIMEOUT_MILLIS = 500
-
-        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     }
 }
 
--- a/soak/src/main/kotlin/buckthornbay/soak/SoakCallers.kt
+++ b/soak/src/main/kotlin/buckthornbay/soak/SoakCallers.kt
@@ -1,8 +1,10 @@
 package buckthornbay.soak
 
+import buckthornbay.testkit.platform.CallerAnswer
 import buckthornbay.testkit.platform.StandInRoute
 import buckthornbay.testkit.platform.StandInRouteKind
 import buckthornbay.testkit.platform.callerRequest
+import buckthornbay.testkit.platform.readCallerAnswer
 import buckthornbay.testkit.platform.tokenDemandHeader
 import org.apache.commons.rng.UniformRandomProvider
 import java.io.BufferedInputStream
@@ -38,9 +40,6 @@
     }
 }
 
-/** What came back for one request. */
-internal class CallerReply(val status: Int, val body: String, val whole: Boolean)
-
 /** One caller: it keeps its connection for several requests and goes on with another host when that fails. */
 internal class SoakCaller(
     private val number: Int,
@@ -62,7 +61,7 @@
         val reply = try {
             val open = connection()
             open.getOutputStream().write(request(route, id).encodeToByteArray())
-            read(BufferedInputStream(open.getInputStream()))
+            readCallerAnswer(BufferedInputStream(open.getInputStream()), endsIt = { true }) ?: throw IOException("no answer")
         } catch (_: IOException) {
             drop()
             promises.told(id, Told.UNKNOWN)
@@ -73,7 +72,7 @@
         return reply.status
     }
 
-    private fun report(route: SoakRoute, id: String, reply: CallerReply) = when {
+    private fun report(route: SoakRoute, id: String, reply: CallerAnswer) = when {
         reply.status == SERVICE_UNAVAILABLE -> promises.told(id, Told.NOT_RUN)
         reply.status != OK -> promises.told(id, Told.UNKNOWN)
         route == SoakRoute.STREAM -> {
@@ -109,47 +108,6 @@
         more = tokenDemandHeader(promptTokens = 100, answerTokens = 50),
     )
 
-    private fun read(input: BufferedInputStream): CallerReply {
-        val status = line(input).split(' ').getOrNull(1)?.toIntOrNull() ?: throw IOException("no answer")
-        var length = 0
-        var chunked = false
-        while (true) {
-            val header = line(input)
-            if (header.isEmpty()) break
-            val name = header.substringBefore(':').lowercase()
-            if (name == "content-length") length = header.substringAfter(':').trim().toInt()
-            if (name == "transfer-encoding") chunked = true
-        }
-        if (!chunked) return input.readNBytes(length).let { CallerReply(status, it.decodeToString(), it.size == length) }
-        return chunks(input, status)
-    }
-
-    private fun chunks(input: BufferedInputStream, status: Int): CallerReply {
-        val body = StringBuilder()
-        try {
-            while (true) {
-                val size = line(input).trim().toInt(HEXADECIMAL)
-                body.append(input.readNBytes(size).decodeToString())
-                line(input)
-                if (size == 0) return CallerReply(status, body.toString(), whole = true)
-            }
-        } catch (_: IOException) {
-            return CallerReply(status, body.toString(), whole = false)
-        } catch (_: NumberFormatException) {
-            return CallerReply(status, body.toString(), whole = false)
-        }
-    }
-
-    private fun line(input: BufferedInputStream): String {
-        val line = StringBuilder()
-        while (true) {
-            val byte = input.read()
-            if (byte < 0) throw IOException("the connection was closed")
-            if (byte == '\n'.code) return line.toString().trimEnd('\r')
-            line.append(byte.toChar())
-        }
-    }
-
     companion object {
         /** The key that all callers use. */
         const val KEY = "key"
@@ -158,7 +116,6 @@
         const val TIME_LIMIT_MILLIS = 3_000L
         private const val OK = 200
         private const val SERVICE_UNAVAILABLE = 503
-        private const val HEXADECIMAL = 16
         private const val REQUESTS_PER_CONNECTION = 20
         private const val CONNECT_MILLIS = 500
 
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/ScriptedUpstream.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/ScriptedUpstream.kt
@@ -2,8 +2,6 @@
 
 import java.io.BufferedInputStream
 import java.io.IOException
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
@@ -78,41 +76,29 @@
 
 /** An upstream on loopback that answers each request as [script] says, well or badly. */
 public class ScriptedUpstream(private val script: (ScriptedExchange) -> Unit) : AutoCloseable {
-    private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val sockets = CopyOnWriteArrayList<Socket>()
 
     /** The requests that arrived, oldest first. */
     public val requests: CopyOnWriteArrayList<ScriptedRequest> = CopyOnWriteArrayList()
 
-    /** Where the upstream listens, as `IP:PORT`. */
-    public val address: String = "127.0.0.1:${listener.localPort}"
-
-    init {
-        thread(isDaemon = true) { acceptAll() }
+    private val listener = LoopbackListener { socket ->
+        sockets += socket
+        thread(isDaemon = true) { serve(socket) }
     }
 
+    /** Where the upstream listens, as `IP:PORT`. */
+    public val address: String = listener.address
+
     override fun close() {
         listener.close()
         sockets.forEach { it.close() }
     }
 
-    private fun acceptAll() {
-        while (!listener.isClosed) {
-            val socket = try {
-                listener.accept()
-            } catch (_: IOException) {
-                return
-            }
-            sockets += socket
-            thread(isDaemon = true) { serve(socket) }
-        }
-    }
-
     private fun serve(socket: Socket) {
         try {
-            val input = BufferedInputStream(socket.getInputStream())
+            val lines = HttpLines(BufferedInputStream(socket.getInputStream()))
             while (!socket.isClosed) {
-                val request = read(input) ?: return
+                val request = read(lines) ?: return
                 requests += request
                 script(ScriptedExchange(request, requests.size, socket))
             }
@@ -121,26 +107,10 @@
         }
     }
 
-    private fun read(input: BufferedInputStream): ScriptedRequest? {
-        val line = readLine(input) ?: return null
-        val headers = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }
-            .map { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
-            .toList()
+    private fun read(lines: HttpLines): ScriptedRequest? {
+        val line = lines.next() ?: return null
+        val headers = lines.headers() ?: return null
         val length = headers.firstOrNull { it.first == "content-length" }?.second?.toInt() ?: 0
-        return ScriptedRequest(line, headers, input.readNBytes(length))
-    }
-
-    private fun readLine(input: BufferedInputStream): String? {
-        val line = StringBuilder()
-        while (true) {
-            val byte = input.read()
-            if (byte < 0) return null
-            if (byte == '\n'.code) return line.toString().trimEnd('\r')
-            line.append(byte.toChar())
-        }
-    }
-
-    private companion object {
-        const val BACKLOG = 64
+        return ScriptedRequest(line, headers, lines.bytes(length))
     }
 }
