Log what a host may send when it refuses, and count tokens by workspace

The record of the fairness incident can't tell whether the refusing host had no allowance, whether other hosts knew of the held-back workspace, or whether the share was too large. The lines 'refused' and 'sent' now have these inputs.

--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
@@ -0,0 +1,138 @@
+package buckthornbay.core.admission
+
+import buckthornbay.core.Clock
+import buckthornbay.core.membership.rendezvousOrder
+import buckthornbay.protocol.HostId
+import buckthornbay.protocol.Member
+import buckthornbay.protocol.WorkspaceId
+import buckthornbay.protocol.ZoneId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlin.math.roundToLong
+
+/** The accounts of the workspaces at this host, merged with those that other hosts report. */
+public class WorkspaceAccounts(
+    public val startedWork: FleetAccounts,
+    public val requestedWork: FleetAccounts,
+    public val backlog: FleetBacklog,
+    public val clock: Clock,
+    private val waitingFor: (Long) -> Set<WorkspaceId>,
+) {
+    /** Returns the workspaces that have had a request queued on this host for at least [millis] milliseconds. */
+    public fun waiting(millis: Long = 0): Set<WorkspaceId> = waitingFor(millis)
+}
+
+/** Rounds the tokens to whole numbers, the form that is sent to peers. */
+public fun Map<WorkspaceId, Double>.toWholeTokens(): Map<WorkspaceId, Long> = mapValues { it.value.roundToLong() }
+
+/** Converts the whole tokens that a peer sent. */
+public fun Map<WorkspaceId, Long>.toTokens(): Map<WorkspaceId, Double> = mapValues { it.value.toDouble() }
+
+/**
+ * Work and backlog by workspace at one source, which is a host or an availability zone.
+ *
+ * @property source host id, or the name of a zone sum.
+ * @property startedWork recently started work, in tokens by workspace.
+ * @property requestedWork recently requested work, in tokens by workspace.
+ * @property waiting workspaces that have requests queued there.
+ */
+@Serializable
+public data class SourceAccounts(
+    @SerialName("s") public val source: String,
+    @SerialName("z") public val zone: ZoneId,
+    @SerialName("b") public val startedWork: Map<WorkspaceId, Long>,
+    @SerialName("a") public val requestedWork: Map<WorkspaceId, Long>,
+    @SerialName("w") public val waiting: Set<WorkspaceId>,
+)
+
+/**
+ * The aggregation of workspace accounts in fleets that are too large for every pair of hosts to exchange heartbeats within a second.
+ *
+ * Rendezvous hashing selects one aggregator host in each availability zone. The other hosts of the zone send it their accounts
+ * and receive those of the rest of the fleet. Aggregators exchange the zone sums with each other. Values are absolute and each
+ * replaces the previous one, so that lost or duplicated messages and a change of the aggregator do no harm.
+ *
+ * @param self this host.
+ * @param liveMembers live hosts of the fleet, with this one.
+ */
+public class AccountsAggregation(
+    private val self: Member,
+    private val accounts: WorkspaceAccounts,
+    private val liveMembers: () -> List<Member>,
+) {
+    private val clock: Clock get() = accounts.clock
+
+    /** Returns the hosts that this host exchanges accounts with: the aggregator of its zone, or those of the other zones. */
+    public fun targets(): List<Member> {
+        val byZone = liveMembers().groupBy { it.zone }
+        val own = aggregatorOf(byZone.getValue(self.zone))
+        if (own.host != self.host) return listOf(own)
+        return byZone.filterKeys { it != self.zone }.values.map(::aggregatorOf)
+    }
+
+    /** Returns the accounts to send to [target]. */
+    public fun accountsFor(target: Member): SourceAccounts =
+        if (target.zone == self.zone) sum(self.host.value) { false } else zoneSum(except = null)
+
+    /** Returns the accounts to answer to the source of [received]. */
+    public fun answerTo(received: SourceAccounts): List<SourceAccounts> =
+        if (received.zone == self.zone) restOfFleetFor(received.source) else listOf(zoneSum(except = null))
+
+    private fun aggregatorOf(members: List<Member>): Member {
+        val first = rendezvousOrder(AGGREGATOR_KEY, members.map { it.host }).first()
+        return members.first { it.host == first }
+    }
+
+    /** Replaces what was known of the source of [received]. */
+    public fun merge(received: SourceAccounts) {
+        val nowMillis = clock.nowMillis()
+        accounts.startedWork.putSnapshot(nowMillis, received.source, received.startedWork.toTokens())
+        accounts.requestedWork.putSnapshot(nowMillis, received.source, received.requestedWork.toTokens())
+        accounts.backlog.receive(nowMillis, HostId(received.source), received.waiting)
+    }
+
+    /** Returns the sum over the hosts of this zone; leaves out [except], if not null, because that host adds its own accounts. */
+    private fun zoneSum(except: String?): SourceAccounts {
+        val name = if (except == null) "$ZONE_PREFIX${self.zone}" else "$ZONE_PREFIX${self.zone}$OTHERS_SUFFIX"
+        return sum(name) { source -> !source.startsWith(ZONE_PREFIX) && source != except }
+    }
+
+    private fun restOfFleetFor(host: String): List<SourceAccounts> {
+        val zones = liveMembers().map { it.zone }.toSet() - self.zone
+        return listOf(zoneSum(except = host)) + zones.map { zone -> receivedFrom("$ZONE_PREFIX$zone", zone) }
+    }
+
+    private fun receivedFrom(source: String, zone: ZoneId): SourceAccounts {
+        val nowMillis = clock.nowMillis()
+        return SourceAccounts(
+            source,
+            zone,
+            accounts.startedWork.snapshotOf(nowMillis, source).toWholeTokens(),
+            accounts.requestedWork.snapshotOf(nowMillis, source).toWholeTokens(),
+            accounts.backlog.waitingAt(nowMillis, HostId(source)),
+        )
+    }
+
+    private fun sum(name: String, include: (String) -> Boolean): SourceAccounts {
+        val nowMillis = clock.nowMillis()
+        return SourceAccounts(
+            name,
+            self.zone,
+            accounts.startedWork.recentOf(nowMillis, include).toWholeTokens(),
+            accounts.requestedWork.recentOf(nowMillis, include).toWholeTokens(),
+            accounts.waiting(BACKLOG_WAIT_MILLIS) + accounts.backlog.waitingWhere(nowMillis) { include(it.value) },
+        )
+    }
+
+    private companion object {
+        const val AGGREGATOR_KEY = "accounts"
+        const val ZONE_PREFIX = "zone:"
+        const val OTHERS_SUFFIX = ":others"
+
+        /**
+         * Queueing time from which a workspace counts as backlogged, in milliseconds; in a large fleet nearly every workspace has
+         * some request that is queued for a moment.
+         */
+        const val BACKLOG_WAIT_MILLIS = 200L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -0,0 +1,160 @@
+package buckthornbay.core.admission
+
+import buckthornbay.core.Clock
+import buckthornbay.core.load.Candidate
+import buckthornbay.core.load.Choice
+import buckthornbay.core.load.Placement
+import buckthornbay.core.load.TokenDemand
+import buckthornbay.protocol.ServiceId
+import buckthornbay.protocol.UpstreamId
+import buckthornbay.protocol.WorkspaceId
+
+/** A caller's request that a [Dispatcher] queues and sends. */
+public interface DispatchedRequest {
+    public val id: String
+    public val service: ServiceId
+
+    /** Workspace that the request is charged to; null for public routes. */
+    public val workspaceId: WorkspaceId?
+
+    /** Tokens that the request asks an engine for; null for plain services. */
+    public val demand: TokenDemand?
+    public val rank: WaitingRank
+
+    /** Upstreams to which the request was sent before. */
+    public val triedUpstreams: Set<UpstreamId>
+
+    /** The queue entry of this request, set by the dispatcher; null while it is not queued. */
+    public var queueEntry: QueuedRequest<DispatchedRequest>?
+
+    /** Returns the time until which the request may stay queued, in milliseconds. */
+    public fun queueUntilMillis(): Long
+
+    /** Returns whether the request may stay queued until the upstream with the lowest cost has room. */
+    public fun mayWaitForBestUpstream(nowMillis: Long): Boolean
+
+    /** Sends the request to the upstream of [choice]. */
+    public fun send(choice: Choice)
+
+    /** Ends the request because no upstream can serve it. */
+    public fun refuse(reason: String)
+}
+
+/**
+ * What a host assumes about the upstreams of a service, for logs.
+ *
+ * @property reportingUpstreams upstreams whose latest load report is recent.
+ * @property freeSlots slots without a request, at the reporting upstreams.
+ * @property allowedPerSecond work that this host may send, per second: tokens for engines, requests otherwise.
+ */
+public data class CapacityView(
+    public val upstreams: Int,
+    public val reportingUpstreams: Int,
+    public val freeSlots: Int,
+    public val allowedPerSecond: Double,
+)
+
+/**
+ * The request queues by service, which send to upstreams according to placement and fair queueing.
+ *
+ * @param candidates upstreams of a service that may get new requests.
+ * @param accounts recent work that engines have started, by workspace.
+ * @param backlog workspaces with queued requests on other hosts.
+ */
+public class Dispatcher(
+    private val candidates: (ServiceId) -> List<Candidate>,
+    private val accounts: FleetAccounts,
+    private val backlog: FleetBacklog,
+    private val placement: Placement,
+    private val clock: Clock,
+) {
+    private val queues = HashMap<ServiceId, FairQueue<DispatchedRequest>>()
+
+    /** Number of queued requests of all services. */
+    public val waitingCount: Int get() = queues.values.sumOf { it.size }
+
+    /** Returns the workspaces that have a request queued at this host for at least [millis] milliseconds. */
+    public fun workspacesWaitingFor(millis: Long): Set<WorkspaceId> {
+        val sinceMillis = clock.nowMillis() - millis
+        return queues.values.flatMap { it.workspacesWaitingSince(sinceMillis) }.toSet()
+    }
+
+    /** Returns what this host assumes about the upstreams of [service]. */
+    public fun capacityOf(service: ServiceId): CapacityView {
+        val nowMillis = clock.nowMillis()
+        val views = candidates(service).map { it.load.view(nowMillis) }
+        return CapacityView(
+            upstreams = views.size,
+            reportingUpstreams = views.count { it.freeSlots != null },
+            freeSlots = views.sumOf { it.freeSlots ?: 0 },
+            allowedPerSecond = views.sumOf { it.allowedPerSecond },
+        )
+    }
+
+    /** Queues [request] for its first or a further attempt and sends it if an upstream has room; may refuse it at once. */
+    public fun submit(request: DispatchedRequest) {
+        if (candidates(request.service).isEmpty()) return request.refuse("no upstream of the service may be used")
+        val queue = queueFor(request.service)
+        if (request.rank != WaitingRank.DUE && queue.sizeOf(request.workspaceId) >= MAX_WAITING_BEYOND_SHARE) {
+            return request.refuse("the workspace asks for more than its share and others of its requests wait")
+        }
+        val waiting =
+            QueuedRequest(request.id, request.workspaceId, request.rank, clock.nowMillis(), request.queueUntilMillis(), request)
+        request.queueEntry = waiting
+        queue.add(waiting)
+        place(request.service)
+    }
+
+    /** Removes [request] from its queue, if it is queued. */
+    public fun withdraw(request: DispatchedRequest) {
+        val waiting = request.queueEntry ?: return
+        request.queueEntry = null
+        queueFor(request.service).remove(waiting)
+    }
+
+    /** Sends the queued requests for which an upstream of [service] has room. */
+    public fun place(service: ServiceId) {
+        val queue = queues[service] ?: return
+        if (queue.size == 0) return
+        queue.placeWhile(clock.nowMillis()) { waiting -> placeOne(waiting.request) }
+    }
+
+    /**
+     * Sends queued requests of all services after a change of the upstreams, and refuses those whose service has no usable
+     * upstream left.
+     */
+    public fun placeAll() {
+        queues.keys.toList().forEach { service ->
+            val unservable = if (candidates(service).isEmpty()) queueFor(service).removeAll() else emptyList()
+            unservable.forEach { it.request.refuse("no upstream of the service may be used") }
+            place(service)
+        }
+    }
+
+    private fun placeOne(request: DispatchedRequest): Boolean {
+        val nowMillis = clock.nowMillis()
+        val workspace = request.workspaceId
+        if (request.rank != WaitingRank.DUE && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
+        val usable = candidates(request.service)
+        val preferred = usable.filterNot { it.id in request.triedUpstreams }.ifEmpty { usable }
+        val choice =
+            placement.choose(nowMillis, preferred, request.demand, request.mayWaitForBestUpstream(nowMillis)) ?: return false
+        request.queueEntry = null
+        request.demand?.let { demand ->
+            workspace?.let { accounts.charge(nowMillis, it, demand.workTokens) }
+            choice.upstream.cache?.recordPrefill(nowMillis, demand)
+        }
+        request.send(choice)
+        return true
+    }
+
+    private fun queueFor(service: ServiceId) = queues.getOrPut(service) { FairQueue(accounts) }
+
+    private companion object {
+        /**
+         * Maximum number of queued requests of a workspace that exceeds its share. Only a few of them can be served within the
+         * maximum queueing time.
+         */
+        const val MAX_WAITING_BEYOND_SHARE = 6
+    }
+}
--- a/core/src/main/kotlin/buckthornbay/core/admission/FleetBacklog.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FleetBacklog.kt
@@ -33,6 +33,9 @@
         .filter { (host, report) -> include(host) && nowMillis - report.asOfMillis <= settings.reportTtlMillis }
         .values.flatMap { it.workspaces }.toSet()
 
+    /** Returns the number of workspaces that are queued on other hosts. */
+    public fun waitingCount(nowMillis: Long): Int = waitingWhere(nowMillis) { true }.size
+
     /** Returns whether [workspace] should yield to one that is queued on another host and received clearly less service. */
     public fun shouldYield(nowMillis: Long, workspace: WorkspaceId): Boolean {
         val own = started.recentTokens(nowMillis, workspace)
--- a/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
@@ -28,6 +28,7 @@
     private var increasedAtMillis = 0L
     private var slowdown = 1.0
     private var slowdownSeenAtMillis = 0L
+    private var lastReport: LoadReport? = null
 
     override val inFlight: Int get() = pending.size + running.size
 
@@ -42,6 +43,12 @@
 
     override fun serviceMillis(cost: Double): Double = cost * millisPerToken
 
+    override fun view(nowMillis: Long): LoadView {
+        val report = lastReport?.takeIf { nowMillis - slowdownSeenAtMillis <= settings.reportTtlMillis }
+        val freeSlots = report?.let { (it.slots - it.running - it.waiting).coerceAtLeast(0) }
+        return LoadView(tokensPerMilli * MILLIS_PER_SECOND, freeSlots)
+    }
+
     override fun sent(nowMillis: Long, id: String, cost: Double) {
         availableTokens = tokensAt(nowMillis) - cost
         refilledAtMillis = nowMillis
@@ -50,6 +57,7 @@
     }
 
     override fun responseStarted(nowMillis: Long, id: String, report: LoadReport?) {
+        lastReport = report
         report?.let {
             slowdown = it.slowdown
             slowdownSeenAtMillis = nowMillis
@@ -120,6 +128,10 @@
 
     private fun currentSlowdown(nowMillis: Long): Double =
         if (nowMillis - slowdownSeenAtMillis < settings.slowdownTtlMillis) slowdown else 1.0
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+    }
 }
 
 /**
@@ -153,6 +165,7 @@
  * @property maxPendingTokens maximum number of this host's pending tokens at one engine; they are lost if the engine fails.
  * @property slowdownTtlMillis how long a reported slowdown stays valid, in milliseconds; it changes several times a second
  * with the other workloads on the engine's machine.
+ * @property reportTtlMillis how long a reported number of free slots is shown in logs, in milliseconds.
  */
 public data class EngineLoadSettings(
     public val initialMillisPerToken: Double = 0.0125,
@@ -176,6 +189,7 @@
     public val burstTokens: Double = 6_000.0,
     public val maxPendingTokens: Double = 30_000.0,
     public val slowdownTtlMillis: Long = 300,
+    public val reportTtlMillis: Long = 1_000,
 ) {
     /** Scales the rates for a fleet of [hosts] hosts, which share the throughput of each engine. */
     public fun forHosts(hosts: Int): EngineLoadSettings {
--- a/core/src/main/kotlin/buckthornbay/core/load/PlainLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/PlainLoad.kt
@@ -30,6 +30,9 @@
 
     override fun serviceMillis(cost: Double): Double = serviceMillis
 
+    override fun view(nowMillis: Long): LoadView =
+        LoadView(windowRequests * MILLIS_PER_SECOND / serviceMillis, freeSlots = null)
+
     override fun sent(nowMillis: Long, id: String, cost: Double) {
         open[id] = nowMillis
     }
@@ -63,6 +66,10 @@
         shrunkAtMillis = nowMillis
         windowRequests = (windowRequests * settings.shrinkFactor).coerceAtLeast(1.0)
     }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+    }
 }
 
 /**
--- a/core/src/main/kotlin/buckthornbay/core/load/UpstreamLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/UpstreamLoad.kt
@@ -15,6 +15,14 @@
     public val slowdown: Double,
 )
 
+/**
+ * What a host assumes about an upstream, for logs.
+ *
+ * @property allowedPerSecond work that this host may send to the upstream, per second: tokens for an engine, requests otherwise.
+ * @property freeSlots slots without a request according to the latest [LoadReport]; null if there is none or it is too old.
+ */
+public data class LoadView(public val allowedPerSecond: Double, public val freeSlots: Int?)
+
 /** The outcome of a request that was sent to an upstream. */
 public enum class SendOutcome {
     /** The upstream returned a complete, valid response. */
@@ -62,6 +70,9 @@
     /** Records that a stream event came [gapMillis] after the previous one, where up to [allowedMillis] is acceptable. */
     public fun gapObserved(nowMillis: Long, gapMillis: Long, allowedMillis: Long): Unit = Unit
 
+    /** Returns what this host assumes about the upstream. */
+    public fun view(nowMillis: Long): LoadView
+
     /** Records that [id] ended with [outcome]. */
     public fun ended(nowMillis: Long, id: String, outcome: SendOutcome)
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -1,7 +1,6 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.admission.RequestFingerprint
-import buckthornbay.core.admission.WaitingRank
 import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.routing.RouteMatch
 import buckthornbay.core.routing.RouteTable
@@ -77,9 +76,10 @@
             return reject(request, caller, id, BAD_REQUEST, "${names.remainingMillis} must be a number of milliseconds")
         }
         val terms = termsOf(request, id, service, match, remainingMillis ?: match.route.timeoutMillis)
+        context.metrics.recordAskedTokens(terms)
         val proxied = ProxiedRequest(context, terms, request, caller)
         context.requests += proxied
-        context.dispatcher.retryAllowanceFor(service).recordRequest()
+        context.retryBudgets.allowanceFor(service).recordRequest()
         proxied.start()
         return proxied
     }
@@ -103,7 +103,7 @@
             service = service,
             demand = demand,
             fingerprint = fingerprint,
-            rank = rankOf(match, demand, waitedMillis),
+            rank = context.admission.rankOf(nowMillis, match.route, match.workspace?.id, demand, waitedMillis),
             firstReceivedAtMillis = nowMillis - waitedMillis,
             arrivedAtMillis = nowMillis,
             callerDeadlineAtMillis = nowMillis + callerTimeoutMillis,
@@ -121,17 +121,6 @@
         return RequestFingerprint(match.route.name, workspace, demand)
     }
 
-    private fun rankOf(match: RouteMatch.Found, demand: TokenDemand?, waitedMillis: Long): WaitingRank {
-        val workspace = match.workspace?.id
-        if (workspace == null || demand == null) return WaitingRank.DUE
-        val withinShare = context.admission.shares.tryAcquire(context.clock.nowMillis(), workspace, demand.workTokens)
-        return when {
-            waitedMillis >= (match.route.objectiveMillis ?: Long.MAX_VALUE) -> WaitingRank.LATE
-            withinShare -> WaitingRank.DUE
-            else -> WaitingRank.BEYOND_SHARE
-        }
-    }
-
     private fun reject(
         request: ReceivedRequest,
         caller: CallerConnection,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -17,6 +17,7 @@
         terms.fingerprint?.let {
             context.admission.priorWaits.recordRefusal(nowMillis, it, nowMillis - terms.firstReceivedAtMillis)
         }
+        context.metrics.recordRefusedTokens(terms)
         context.log.refused(terms, reason, refusalInputs(nowMillis, retryAfterSeconds))
         caller.fail(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: $reason", retryAfterSeconds)
     }
@@ -38,10 +39,14 @@
     }
 
     private fun refusalInputs(nowMillis: Long, retryAfterSeconds: String) = RefusalInputs(
-        context.dispatcher.waitingCount,
-        terms.workspace?.let { context.admission.shares.demandTokensPerSecond(nowMillis, it) } ?: 0.0,
-        context.admission.shares.shareTokensPerSecond(nowMillis),
-        retryAfterSeconds,
+        waitingCount = context.dispatcher.waitingCount,
+        demandTokensPerSecond =
+            terms.workspace?.let { context.admission.shares.demandTokensPerSecond(nowMillis, it) } ?: 0.0,
+        begunTokensPerSecond = terms.workspace?.let { context.accounts.startedWork.tokensPerSecond(nowMillis, it) } ?: 0.0,
+        shareTokensPerSecond = context.admission.shares.shareTokensPerSecond(nowMillis),
+        waitingElsewhere = context.accounts.backlog.waitingCount(nowMillis),
+        capacity = context.dispatcher.capacityOf(terms.service),
+        retryAfterSeconds = retryAfterSeconds,
     )
 
     private companion object {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
+import buckthornbay.core.admission.CapacityView
 import buckthornbay.core.load.Choice
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
@@ -24,7 +25,8 @@
     var versionFields: () -> String = { "" }
 
     fun sent(terms: RequestTerms, upstream: UpstreamId, choice: Choice, waitedMillis: Long, attempt: Int) = logRequestLine {
-        "event=sent id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} upstream=$upstream attempt=$attempt " +
+        "event=sent id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} rank=${terms.rank} " +
+            "upstream=$upstream attempt=$attempt " +
             "waited_ms=$waitedMillis cost=${choice.cost.toLong()} expected_ms=${choice.expectedMillis.toLong()} " +
             "at_home=${choice.onPreferredEngine} copy_from=${choice.copyFrom?.id} ${versionFields()}"
     }
@@ -42,7 +44,11 @@
     fun refused(terms: RequestTerms, reason: String, inputs: RefusalInputs) = logRequestLine {
         "event=refused id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} rank=${terms.rank} " +
             "waiting=${inputs.waitingCount} asked_tokens_per_s=${inputs.demandTokensPerSecond.toLong()} " +
-            "share_tokens_per_s=${inputs.shareTokensPerSecond?.toLong()} retry_after_s=${inputs.retryAfterSeconds} " +
+            "begun_tokens_per_s=${inputs.begunTokensPerSecond.toLong()} " +
+            "share_tokens_per_s=${inputs.shareTokensPerSecond?.toLong()} waiting_elsewhere=${inputs.waitingElsewhere} " +
+            inputs.capacity.run {
+                "upstreams=$upstreams reporting=$reportingUpstreams free_slots=$freeSlots allowed_per_s=${allowedPerSecond.toLong()} "
+            } + "retry_after_s=${inputs.retryAfterSeconds} " +
             "reason=\"$reason\" ${versionFields()}"
     }
 
@@ -89,13 +95,19 @@
  *
  * @property waitingCount requests queued at this host.
  * @property demandTokensPerSecond demand of the workspace at all hosts, in tokens per second.
+ * @property begunTokensPerSecond work of the workspace that engines have started recently for all hosts, in tokens per second.
+ * @property waitingElsewhere workspaces that are queued on other hosts.
+ * @property capacity what this host assumes about the upstreams of the service.
  * @property shareTokensPerSecond fair share of a workspace, in tokens per second; null while the demand of all can be met.
  * @property retryAfterSeconds the Retry-After value sent to the caller.
  */
 internal class RefusalInputs(
     val waitingCount: Int,
     val demandTokensPerSecond: Double,
+    val begunTokensPerSecond: Double,
     val shareTokensPerSecond: Double?,
+    val waitingElsewhere: Int,
+    val capacity: CapacityView,
     val retryAfterSeconds: String,
 )
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.request.RequestState
+import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -11,6 +12,7 @@
 internal class GatewayMetrics {
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val connections = registry.counter("buckthornbay.upstream.connections.opened")
+    private val tokens = HashMap<String, Counter>()
     private val timers = HashMap<String, Timer>()
 
     fun connectionOpened() = connections.increment()
@@ -30,6 +32,23 @@
         timer("buckthornbay.request.duration", terms.route.name, state.name.lowercase())
             .record(nowMillis - terms.arrivedAtMillis, TimeUnit.MILLISECONDS)
 
+    /** Records the tokens that callers ask engines for. */
+    fun recordAskedTokens(terms: RequestTerms) = countTokens("asked", terms)
+
+    /** Records the tokens of a request that is sent to an engine. */
+    fun recordBegunTokens(terms: RequestTerms) = countTokens("begun", terms)
+
+    /** Records the tokens of a request that is refused. */
+    fun recordRefusedTokens(terms: RequestTerms) = countTokens("refused", terms)
+
+    private fun countTokens(kind: String, terms: RequestTerms) {
+        val workspace = terms.workspace ?: return
+        val demand = terms.demand ?: return
+        tokens.getOrPut("$workspace|$kind") {
+            registry.counter("buckthornbay.workspace.tokens", "workspace", workspace.value, "kind", kind)
+        }.increment(demand.workTokens)
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     fun scrape(): String = registry.scrape()
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -2,11 +2,15 @@
 
 import arrow.fx.coroutines.ResourceScope
 import buckthornbay.core.Clock
+import buckthornbay.core.admission.AccountsAggregation
+import buckthornbay.core.admission.Admission
 import buckthornbay.core.admission.AdmissionPolicy
 import buckthornbay.core.admission.CallerRetryTracker
+import buckthornbay.core.admission.Dispatcher
 import buckthornbay.core.admission.FairShares
 import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.admission.FleetBacklog
+import buckthornbay.core.admission.WorkspaceAccounts
 import buckthornbay.core.load.Placement
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.MembershipSettings
@@ -69,7 +73,12 @@
         MEMBERSHIP,
     )
     private val watcherSelection = StoreWatcherSelection(settings.host)
-    private val accountsExchange = AccountsExchange(membership, accounts, transport, log)
+    private val accountsExchange = AccountsExchange(
+        membership,
+        AccountsAggregation(membership.selfMember, accounts, membership::live),
+        transport,
+        log,
+    )
     private val peers =
         PeerExchange(membership, accounts, fleetView, transport, log, watcherSelection, accountsExchange, scope)
     private val store = deployment.store(transport, settings.store.address)
@@ -89,6 +98,12 @@
         deployment.callerInterface,
         connections,
         Admission(AdmissionPolicy(random), shares, CallerRetryTracker()),
+        accounts,
+        upstreams,
+        RetryBudgets(
+            settings.bounds.run { RetrySettings(retryRatio, (retryWindowSeconds * MILLIS_PER_SECOND).toLong(), retrySlack) },
+            clock,
+        ) { membership.live().size },
         log,
         metrics,
     )
@@ -100,13 +115,11 @@
     internal fun start() {
         log.versionFields = { "config_version=${fleetView.configurationVersion} registry_revision=${fleetView.registryRevision}" }
         context.dispatcher = Dispatcher(
-            upstreams,
+            upstreams::candidates,
             startedWork,
             accounts.backlog,
             Placement(settings.region),
-            settings.bounds.run { RetrySettings(retryRatio, (retryWindowSeconds * MILLIS_PER_SECOND).toLong(), retrySlack) },
             clock,
-            liveHosts = { membership.live().size },
         )
         listeners.listen(settings.listen.callers, callers)
         settings.listen.run { listOfNotNull(readiness, control, addresses, metrics) }.distinct()
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -1,8 +1,9 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
-import buckthornbay.core.admission.FleetAccounts
-import buckthornbay.core.admission.FleetBacklog
+import buckthornbay.core.admission.WorkspaceAccounts
+import buckthornbay.core.admission.toTokens
+import buckthornbay.core.admission.toWholeTokens
 import buckthornbay.core.membership.HostReport
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.OutgoingHeartbeat
@@ -24,7 +25,6 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.JsonElement
-import kotlin.math.roundToLong
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -48,24 +48,6 @@
     @SerialName("s") val storeAgeMillis: Long,
 )
 
-/** Fleet-wide accounts by workspace: started work, requested work and backlog. */
-internal class WorkspaceAccounts(
-    val startedWork: FleetAccounts,
-    val requestedWork: FleetAccounts,
-    val backlog: FleetBacklog,
-    val clock: Clock,
-    private val waitingFor: (Long) -> Set<WorkspaceId>,
-) {
-    /** Returns the workspaces that have had a request queued on this host for at least [millis] milliseconds. */
-    fun waiting(millis: Long = 0): Set<WorkspaceId> = waitingFor(millis)
-}
-
-/** Rounds the tokens to whole numbers, the form that is sent to peers. */
-internal fun Map<WorkspaceId, Double>.toWholeTokens(): Map<WorkspaceId, Long> = mapValues { it.value.roundToLong() }
-
-/** Converts the whole tokens that a peer sent. */
-internal fun Map<WorkspaceId, Long>.toTokens(): Map<WorkspaceId, Double> = mapValues { it.value.toDouble() }
-
 /** Store contents that are newer than those of the requesting peer; null where the peer is up to date. */
 @Serializable
 internal data class PeerSnapshot(
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -1,5 +1,6 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.admission.DispatchedRequest
 import buckthornbay.core.admission.QueuedRequest
 import buckthornbay.core.admission.WaitingRank
 import buckthornbay.core.load.Choice
@@ -32,12 +33,13 @@
     private val received: ReceivedRequest,
     private val caller: CallerConnection,
 ) : CallerWork,
+    DispatchedRequest,
     AttemptListener {
     private val route = terms.route
     private val lifecycle = RequestLifecycle(
         unrepeatable = !route.repeatable,
         resumable = route.kind == RouteKind.EVENT_STREAM && route.resumable,
-        budget = context.dispatcher.retryAllowanceFor(terms.service),
+        budget = context.retryBudgets.allowanceFor(terms.service),
         limits = AttemptLimits(
             maxRuns = route.maxAttempts,
             maxSends = route.maxAttempts + EXTRA_UNPROCESSED_SENDS,
@@ -57,20 +59,19 @@
     private var responseStarted = false
     private var ended = false
 
-    val id: String get() = terms.id
-    val service: ServiceId get() = terms.service
-    val workspaceId: WorkspaceId? get() = terms.workspace
-    val demand: TokenDemand? get() = terms.demand
+    override val id: String get() = terms.id
+    override val service: ServiceId get() = terms.service
+    override val workspaceId: WorkspaceId? get() = terms.workspace
+    override val demand: TokenDemand? get() = terms.demand
     override val mayRetry: Boolean get() = route.repeatable
 
     /** Priority class in the queue: the highest if an earlier attempt failed, regardless of the share of the workspace. */
-    val rank: WaitingRank get() = if (triedUpstreams.isEmpty()) terms.rank else WaitingRank.DUE
+    override val rank: WaitingRank get() = if (triedUpstreams.isEmpty()) terms.rank else WaitingRank.DUE
 
     /** Upstreams to which the request was sent. */
-    val triedUpstreams = LinkedHashSet<UpstreamId>()
+    override val triedUpstreams = LinkedHashSet<UpstreamId>()
 
-    /** The queue entry of this request; null while it is not queued. */
-    var queueEntry: QueuedRequest<ProxiedRequest>? = null
+    override var queueEntry: QueuedRequest<DispatchedRequest>? = null
 
     /** Starts the deadline timer and queues the request. */
     fun start() {
@@ -79,30 +80,25 @@
         queue()
     }
 
-    /** Returns the time until which the request may stay queued, in milliseconds. */
-    fun queueUntilMillis(): Long = if (triedUpstreams.isEmpty()) {
+    override fun queueUntilMillis(): Long = if (triedUpstreams.isEmpty()) {
         context.admission.policy.queueUntilMillis(route, rank, terms.arrivedAtMillis, terms.deadlineAtMillis)
     } else {
         context.admission.policy.retryQueueUntilMillis(context.clock.nowMillis(), terms.deadlineAtMillis)
     }
 
-    /** Returns whether the request may stay queued until the upstream with the lowest cost has room. */
-    fun mayWaitForBestUpstream(nowMillis: Long): Boolean =
+    override fun mayWaitForBestUpstream(nowMillis: Long): Boolean =
         nowMillis < context.admission.policy.waitForBestUntilMillis(route, terms.arrivedAtMillis)
 
-    /**
-     * Sends the request to [upstream].
-     *
-     * @param choice the placement decision, for its cost and the log.
-     * @param copyFrom address of the engine from which the upstream copies cached prompt parts; null for none.
-     */
-    fun send(upstream: UpstreamState, choice: Choice, copyFrom: String?) {
+    override fun send(choice: Choice) {
         queueTimer?.cancel(false)
+        val upstream = context.upstreams.stateOf(choice.upstream)
+        val copyFrom = choice.copyFrom?.let { context.upstreams.stateOf(it).entry.address }
         val resuming = lifecycle.state == RequestState.STREAMING
         if (!resuming) lifecycle.dispatched()
         triedUpstreams += upstream.entry.id
         val nowMillis = context.clock.nowMillis()
         upstream.candidate.load.sent(nowMillis, id, choice.cost)
+        context.metrics.recordBegunTokens(terms)
         context.log.sent(terms, upstream.entry.id, choice, nowMillis - terms.arrivedAtMillis, triedUpstreams.size)
         if (resuming) progress.resumed()
         val next = Attempt(id, upstream, context, route.kind == RouteKind.EVENT_STREAM, this)
@@ -113,8 +109,8 @@
         next.start(request, if (route.repeatable) Long.MAX_VALUE else MAX_IDLE_FOR_NON_REPEATABLE_MILLIS)
     }
 
-    /** Ends the request because no upstream can serve it; aborts the caller's connection if a stream has started. */
-    fun refuse(reason: String) {
+    /** Aborts the caller's connection if a stream has started. */
+    override fun refuse(reason: String) {
         if (ended) return
         queueEntry = null
         if (lifecycle.state == RequestState.STREAMING) return abortStream(reason)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
@@ -45,13 +45,17 @@
     private val liveHosts: () -> Int,
 ) {
     private val states = HashMap<UpstreamId, UpstreamState>()
-    private val byService = HashMap<ServiceId, List<UpstreamState>>()
+    private val byService = HashMap<ServiceId, List<Candidate>>()
 
     /** Routes of the current configuration, which determine whether a service is an engine or a plain service. */
     var routes: RouteTable? = null
 
     /** Returns the upstreams of [service] that accept new requests. */
-    fun usable(service: ServiceId): List<UpstreamState> = byService.getOrPut(service) { registry.usable(service).map(::stateOf) }
+    fun candidates(service: ServiceId): List<Candidate> =
+        byService.getOrPut(service) { registry.usable(service).map { stateOf(it).candidate } }
+
+    /** Returns the state of the upstream of [candidate], which [candidates] has returned. */
+    fun stateOf(candidate: Candidate): UpstreamState = states.getValue(candidate.id)
 
     /** Returns the state of all upstreams that have been considered for a request since they registered. */
     fun all(): Collection<UpstreamState> = states.values
