Reproduce the fairness incident with 72 hosts in virtual time

LargeFleetFairnessTest plays the hosts' scheduling, engines with slots and chunked prefill, and 30 workspaces. All callers of one large workspace use one host while another workspace asks all hosts for more than the engines can serve.

--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/admission/LargeFleetFairnessTest.kt
@@ -0,0 +1,57 @@
+package buckthornbay.core.admission
+
+import buckthornbay.core.KnownRed
+import org.junit.jupiter.api.extension.ExtendWith
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+/** Shares of workspaces in fleets of some 70 hosts whose callers are unevenly spread over the hosts. */
+@ExtendWith(KnownRed::class)
+class LargeFleetFairnessTest {
+    /** The callers of one workspace use one host while another workspace asks all hosts for more than all engines can serve. */
+    @Test
+    fun aWorkspaceWhoseCallersUseOneHostGetsItsShare() {
+        for (seed in 1L..3L) {
+            val fleet = SimulatedFleet(EngineShape(count = 78, slots = 12, stepMillis = 2.77, prefillTokensPerMilli = 85.2), PLAN, seed)
+            fleet.run(seconds = 16)
+            val unfair = unfairWindows(fleet, seconds = 16)
+            assertTrue(unfair.isEmpty(), "seed $seed: ${unfair.joinToString("\n")}")
+        }
+    }
+
+    private fun unfairWindows(fleet: SimulatedFleet, seconds: Int): List<String> =
+        (0..seconds - WINDOW_SECONDS).flatMap { from ->
+            val window = from until from + WINDOW_SECONDS
+            val bestBySecond = window.map { second -> fleet.service.maxOf { it[second].begunTokens } }
+            fleet.service.mapIndexedNotNull { workspace, service ->
+                val own = window.map { service[it] }
+                val owed = own.zip(bestBySecond) { second, best -> minOf(second.askedTokens, best) }.sum()
+                val got = own.sumOf { it.begunTokens }
+                val short = got < owed / 2 - LARGE_REQUESTS * fleet.largestRequestTokens
+                if (short && own.all { it.heldBack }) {
+                    "from $from s: workspace $workspace asked for ${own.sumOf { it.askedTokens }.toLong()}, " +
+                        "got ${got.toLong()} of ${owed.toLong()}, the best served got ${bestBySecond.sum().toLong()}"
+                } else {
+                    null
+                }
+            }
+        }
+
+    private companion object {
+        /** The operator's rule: six seconds in a row, less three of the largest requests. */
+        const val WINDOW_SECONDS = 6
+        const val LARGE_REQUESTS = 3
+
+        val PLAN = TrafficPlan(
+            classes = listOf(
+                TrafficClass("briefing", 100.0, 600, 10_000, sharedTokens = 5_382, sharedParts = 604, ownTokens = 6_610, outputTokens = 380),
+                TrafficClass("chat", 125.0, 600, 8_000, sharedTokens = 198, sharedParts = 754, ownTokens = 628, outputTokens = 290),
+                TrafficClass("summary", 210.0, 1_200, 2_500, sharedTokens = 568, sharedParts = 700, ownTokens = 1_800, outputTokens = 20),
+            ),
+            workspaces = 30,
+            hostOfWorkspace = { if (it == 1) 7 else null },
+            tokensPerSecond = 2_600_000.0,
+            surges = listOf(Surge(0, 12.0, 6_000, 16_000), Surge(1, 3.0, 7_000, 16_000)),
+        )
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -0,0 +1,351 @@
+package buckthornbay.core.admission
+
+import buckthornbay.core.Clock
+import buckthornbay.core.load.Candidate
+import buckthornbay.core.load.Choice
+import buckthornbay.core.load.EngineLoad
+import buckthornbay.core.load.EngineLoadSettings
+import buckthornbay.core.load.Placement
+import buckthornbay.core.load.PrefixCacheModel
+import buckthornbay.core.load.PromptPart
+import buckthornbay.core.load.SendOutcome
+import buckthornbay.core.load.TokenDemand
+import buckthornbay.core.load.UpstreamReliability
+import buckthornbay.core.routing.Route
+import buckthornbay.core.routing.RouteKind
+import buckthornbay.protocol.HostId
+import buckthornbay.protocol.Member
+import buckthornbay.protocol.RegionId
+import buckthornbay.protocol.ServiceId
+import buckthornbay.protocol.UpstreamId
+import buckthornbay.protocol.WorkspaceId
+import buckthornbay.protocol.ZoneId
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler
+import org.apache.commons.rng.simple.RandomSource
+import java.util.PriorityQueue
+import kotlin.math.exp
+import kotlin.math.ln
+
+/**
+ * A kind of streamed request.
+ *
+ * @property perSecond requests of all callers at usual load, per second.
+ * @property sharedParts number of different shared prompt parts.
+ */
+class TrafficClass(
+    val name: String,
+    val perSecond: Double,
+    val objectiveMillis: Long,
+    val timeoutMillis: Long,
+    val sharedTokens: Int,
+    val sharedParts: Int,
+    val ownTokens: Int,
+    val outputTokens: Int,
+)
+
+/** A load beyond the usual one: [workspace] sends [factor] times its requests from [fromMillis] to [untilMillis]. */
+class Surge(val workspace: Int, val factor: Double, val fromMillis: Long, val untilMillis: Long)
+
+/**
+ * Load of a [SimulatedFleet].
+ *
+ * @property hostOfWorkspace host that all callers of a workspace use, by workspace; null if they use hosts of all zones.
+ */
+class TrafficPlan(
+    val classes: List<TrafficClass>,
+    val workspaces: Int,
+    val hostOfWorkspace: (Int) -> Int?,
+    val tokensPerSecond: Double,
+    val surges: List<Surge>,
+)
+
+/** What a workspace asked for and got in one second, in tokens. */
+class SecondOfService {
+    var askedTokens = 0.0
+    var begunTokens = 0.0
+    var heldBack = false
+}
+
+/** Hosts, engines and callers of a large fleet in virtual time; the hosts run the scheduling of the gateway. */
+class SimulatedFleet(private val engineShape: EngineShape, private val plan: TrafficPlan, seed: Long) {
+    private class Event(val atMillis: Double, val sequence: Long, val action: () -> Unit)
+
+    private val random = RandomSource.SPLIT_MIX_64.create(seed)
+    private val gaussian = ZigguratSampler.NormalizedGaussian.of(random)
+    private val events = PriorityQueue(compareBy<Event> { it.atMillis }.thenBy { it.sequence })
+    private var sequence = 0L
+    private var timeMillis = 0.0
+    private val clock = Clock { timeMillis.toLong() }
+    private val hosts = List(HOSTS) { SimulatedHost(it) }
+    private val engines = List(engineShape.count) { SimulatedEngine(engineShape, ::schedule) }
+    private val callerHosts = List(ZONES) { zone -> List(CALLERS_PER_ZONE) { random.nextInt(HOSTS / ZONES) * ZONES + zone } }
+
+    /** Service by workspace and second. */
+    val service = List(plan.workspaces) { List(MAX_SECONDS) { SecondOfService() } }
+    var largestRequestTokens = 0.0
+        private set
+
+    fun run(seconds: Int) {
+        hosts.forEach { it.start() }
+        for (workspace in 0 until plan.workspaces) for (kind in plan.classes) scheduleArrival(workspace, kind)
+        while (timeMillis < seconds * MILLIS_PER_SECOND) {
+            val event = events.poll()
+            timeMillis = event.atMillis
+            event.action()
+        }
+    }
+
+    private fun schedule(delayMillis: Double, action: () -> Unit) {
+        events += Event(timeMillis + delayMillis, sequence++, action)
+    }
+
+    private fun scheduleArrival(workspace: Int, kind: TrafficClass) {
+        val rate = kind.perSecond * weightOf(workspace) * factorOf(workspace) / MILLIS_PER_SECOND
+        val untilNextMillis = -ln(1.0 - random.nextDouble()) / rate
+        // Rates change within a second, so a long gap is drawn again.
+        if (untilNextMillis > REDRAW_MILLIS) return schedule(REDRAW_MILLIS) { scheduleArrival(workspace, kind) }
+        schedule(untilNextMillis) {
+            val home = plan.hostOfWorkspace(workspace) ?: callerHosts[random.nextInt(ZONES)][random.nextInt(CALLERS_PER_ZONE)]
+            SimulatedCaller(workspace, kind, demandOf(kind), clock.nowMillis() + kind.timeoutMillis)
+                .send(hosts[home], retriesLeft = 1)
+            scheduleArrival(workspace, kind)
+        }
+    }
+
+    private fun weightOf(workspace: Int): Double {
+        val weights = (1..plan.workspaces).map { 1.0 / (it + 1) }
+        return weights[workspace] / weights.sum()
+    }
+
+    private fun factorOf(workspace: Int): Double = plan.surges
+        .filter { it.workspace == workspace && clock.nowMillis() in it.fromMillis until it.untilMillis }
+        .maxOfOrNull { it.factor } ?: 1.0
+
+    private fun demandOf(kind: TrafficClass): TokenDemand {
+        val own = kind.ownTokens * exp(SPREAD * gaussian.sample() - SPREAD * SPREAD / 2)
+        val parts = listOf(
+            PromptPart("${kind.name}-${random.nextInt(kind.sharedParts)}", kind.sharedTokens),
+            PromptPart("own-${sequence++}", own.toInt().coerceIn(1, MAX_OWN_TOKENS)),
+        )
+        return TokenDemand(parts.sumOf { it.tokens }, kind.outputTokens, parts)
+    }
+
+    private fun secondOf(workspace: Int) = service[workspace][(timeMillis / MILLIS_PER_SECOND).toInt().coerceAtMost(MAX_SECONDS - 1)]
+
+    private fun delayMillis(hostZone: Int, engine: Int): Double = when {
+        hostZone == zoneOfEngine(engine) -> 0.2
+        hostZone % REGIONS == zoneOfEngine(engine) % REGIONS -> 0.9
+        else -> 8.0
+    }
+
+    private fun zoneOfEngine(engine: Int) = engine % ZONES
+
+    private fun regionOf(zone: Int) = RegionId("region-${zone % REGIONS}")
+
+    /** A caller that repeats a refused request as the host tells it to. */
+    private inner class SimulatedCaller(
+        val workspace: Int,
+        val kind: TrafficClass,
+        val demand: TokenDemand,
+        val deadlineMillis: Long,
+    ) {
+        private val route = Route(
+            kind.name, "host", "/${kind.name}/", RouteKind.EVENT_STREAM, emptyList(), kind.timeoutMillis, kind.objectiveMillis,
+            maxAttempts = 2, public = false, prefixAffinity = true, resumable = true, longestPauseMillis = 400, priority = 1,
+        )
+
+        fun send(host: SimulatedHost, retriesLeft: Int) {
+            secondOf(workspace).askedTokens += demand.workTokens
+            largestRequestTokens = maxOf(largestRequestTokens, demand.workTokens)
+            schedule(CALLER_DELAY_MILLIS) { host.receive(this, route, retriesLeft) }
+        }
+
+        fun refused(host: SimulatedHost, retryAfterMillis: Double, retriesLeft: Int) {
+            secondOf(workspace).heldBack = true
+            if (retriesLeft == 0) return
+            schedule(retryAfterMillis) {
+                if (clock.nowMillis() < deadlineMillis) send(host, retriesLeft - 1)
+            }
+        }
+    }
+
+    /** One host with the scheduling of the gateway and no network. */
+    private inner class SimulatedHost(index: Int) {
+        val zone = index % ZONES
+        private val self = Member(HostId("host-$index"), "url-$index", regionOf(zone), ZoneId("zone-$zone"), 1)
+        private val started = FleetAccounts(timeConstantMillis = 4_000.0)
+        private val requested = FleetAccounts(timeConstantMillis = 1_200.0)
+        private val backlog = FleetBacklog(started)
+        private val accounts: WorkspaceAccounts =
+            WorkspaceAccounts(started, requested, backlog, clock) { dispatcher.workspacesWaitingFor(it) }
+        private val aggregation = AccountsAggregation(self, accounts) { hosts.map { it.self } }
+        val admission = Admission(
+            AdmissionPolicy(random),
+            FairShares(requested).apply { tokensPerSecond = plan.tokensPerSecond },
+            CallerRetryTracker(),
+        )
+        private val candidates = List(engineShape.count) { engine ->
+            Candidate(
+                UpstreamId("engine-$engine"),
+                regionOf(zoneOfEngine(engine)),
+                EngineLoad(EngineLoadSettings().forHosts(HOSTS)),
+                UpstreamReliability(),
+                PrefixCacheModel(),
+            )
+        }
+        val dispatcher: Dispatcher = Dispatcher({ candidates }, started, backlog, Placement(self.region), clock)
+
+        fun start() {
+            schedule(random.nextDouble() * EXCHANGE_MILLIS) { exchangeAccounts() }
+            schedule(random.nextDouble() * MAINTENANCE_MILLIS) { maintain() }
+        }
+
+        private fun exchangeAccounts() {
+            for (target in aggregation.targets()) {
+                val peer = hosts.first { it.self == target }
+                val sent = aggregation.accountsFor(target)
+                schedule(PEER_DELAY_MILLIS) {
+                    peer.aggregation.merge(sent)
+                    val answer = peer.aggregation.answerTo(sent)
+                    schedule(PEER_DELAY_MILLIS) { answer.forEach(aggregation::merge) }
+                }
+            }
+            schedule(EXCHANGE_MILLIS) { exchangeAccounts() }
+        }
+
+        private fun maintain() {
+            dispatcher.placeAll()
+            schedule(MAINTENANCE_MILLIS) { maintain() }
+        }
+
+        fun receive(caller: SimulatedCaller, route: Route, retriesLeft: Int) {
+            val workspace = WorkspaceId("workspace-${caller.workspace}")
+            val nowMillis = clock.nowMillis()
+            val fingerprint = RequestFingerprint(route.name, workspace, caller.demand)
+            val waitedMillis = admission.priorWaits.waitedMillis(nowMillis, fingerprint, route.timeoutMillis)
+            val rank = admission.rankOf(nowMillis, route, workspace, caller.demand, waitedMillis)
+            SimulatedRequest(this, caller, route, rank, fingerprint, nowMillis - waitedMillis, retriesLeft).submit()
+        }
+
+        fun indexOf(upstream: Candidate) = candidates.indexOf(upstream)
+    }
+
+    private inner class SimulatedRequest(
+        private val host: SimulatedHost,
+        private val caller: SimulatedCaller,
+        private val route: Route,
+        private val firstRank: WaitingRank,
+        private val fingerprint: RequestFingerprint,
+        private val firstReceivedAtMillis: Long,
+        private val retriesLeft: Int,
+    ) : DispatchedRequest {
+        private val arrivedAtMillis = clock.nowMillis()
+        private var begun = false
+        override val id = "request-${sequence++}"
+        override val service = ServiceId("models")
+        override val workspaceId = fingerprint.workspace
+        override val demand = caller.demand
+        override val triedUpstreams = LinkedHashSet<UpstreamId>()
+        override val rank get() = if (triedUpstreams.isEmpty()) firstRank else WaitingRank.DUE
+        override var queueEntry: QueuedRequest<DispatchedRequest>? = null
+
+        override fun queueUntilMillis() = if (triedUpstreams.isEmpty()) {
+            host.admission.policy.queueUntilMillis(route, rank, arrivedAtMillis, caller.deadlineMillis)
+        } else {
+            host.admission.policy.retryQueueUntilMillis(clock.nowMillis(), caller.deadlineMillis)
+        }
+
+        override fun mayWaitForBestUpstream(nowMillis: Long) =
+            nowMillis < host.admission.policy.waitForBestUntilMillis(route, arrivedAtMillis)
+
+        fun submit() {
+            host.dispatcher.submit(this)
+            val entry = queueEntry ?: return
+            schedule((entry.queueUntilMillis - clock.nowMillis()).coerceAtLeast(0).toDouble()) { queueTimeout(entry) }
+            schedule((arrivedAtMillis + checkNotNull(route.objectiveMillis) - clock.nowMillis()).toDouble()) {
+                if (!begun) secondOf(caller.workspace).heldBack = true
+            }
+        }
+
+        private fun queueTimeout(entry: QueuedRequest<DispatchedRequest>) {
+            if (queueEntry !== entry) return
+            host.dispatcher.place(service)
+            if (queueEntry !== entry) return
+            host.dispatcher.withdraw(this)
+            refuse("no upstream had room in time")
+        }
+
+        override fun refuse(reason: String) {
+            val nowMillis = clock.nowMillis()
+            val retryAfterMillis = host.admission.policy.retryAfterMillis(route, caller.deadlineMillis - nowMillis)
+            host.admission.priorWaits.recordRefusal(nowMillis, fingerprint, nowMillis - firstReceivedAtMillis)
+            caller.refused(host, retryAfterMillis, retriesLeft)
+        }
+
+        override fun send(choice: Choice) {
+            val upstream = choice.upstream
+            val engine = host.indexOf(upstream)
+            val networkMillis = delayMillis(host.zone, engine)
+            triedUpstreams += upstream.id
+            upstream.load.sent(clock.nowMillis(), id, choice.cost)
+            var lastEventMillis = -1L
+            fun atHost(action: () -> Unit) = schedule(networkMillis, action)
+            val run = EngineRun(
+                demand,
+                caller.kind.outputTokens,
+                copied = choice.copyFrom != null,
+                onStart = { report ->
+                    begun = true
+                    secondOf(caller.workspace).begunTokens += demand.workTokens
+                    atHost {
+                        upstream.load.responseStarted(clock.nowMillis(), id, report)
+                        lastEventMillis = clock.nowMillis()
+                        host.dispatcher.place(service)
+                    }
+                },
+                onEvent = {
+                    atHost {
+                        val pauseMillis = clock.nowMillis() - lastEventMillis
+                        lastEventMillis = clock.nowMillis()
+                        upstream.load.gapObserved(clock.nowMillis(), pauseMillis, checkNotNull(route.longestPauseMillis))
+                    }
+                },
+                onEnd = { atHost { ended(upstream, SendOutcome.ANSWERED) } },
+            )
+            schedule(networkMillis) {
+                if (!engines[engine].accept(run)) {
+                    atHost {
+                        ended(upstream, SendOutcome.REFUSED)
+                        if (triedUpstreams.size < MAX_SENDS) submit() else refuse("the upstreams are full")
+                    }
+                }
+            }
+        }
+
+        private fun ended(upstream: Candidate, outcome: SendOutcome) {
+            upstream.load.ended(clock.nowMillis(), id, outcome)
+            upstream.reliability.record(clock.nowMillis(), outcome)
+            host.dispatcher.place(service)
+        }
+    }
+
+    companion object {
+        const val HOSTS = 72
+        const val ZONES = 6
+        private const val REGIONS = 3
+        private const val CALLERS_PER_ZONE = 50
+        private const val MAX_SECONDS = 60
+        private const val MILLIS_PER_SECOND = 1_000.0
+        private const val CALLER_DELAY_MILLIS = 3.0
+        private const val PEER_DELAY_MILLIS = 4.0
+        private const val EXCHANGE_MILLIS = 400.0
+        private const val MAINTENANCE_MILLIS = 200.0
+        private const val REDRAW_MILLIS = 500.0
+        private const val MAX_SENDS = 4
+
+        private const val MAX_OWN_TOKENS = 50_000
+
+        /** Standard deviation of the logarithm of the prompt length. */
+        private const val SPREAD = 0.8
+    }
+}
