Divide the engines' throughput among hosts by demand instead of evenly

Cause: each host limited what it sends to an engine by a rate that started at an even share among all hosts and rose by 0.4 x 9 / hosts tokens/ms a step. All callers of the short workspace used one host of 67, so that it had a sixty-seventh of the engines, whatever its fair share; the other workspace asked all hosts and used the rates of all. Within a host and a rank the order of service was right, but the host had nothing to give.

Evidence: in the record all lines of the short workspace are of one host, with rank DUE among the refused and 17 to 20 requests queued, while the refusals of the other workspace are all BEYOND_SHARE.

Why this works: an engine's rate is now learned for all hosts together, and each host uses the part of it that its callers are owed: the demand of each workspace, at most its fair share, by the fraction of it at this host. With even load that is the old even share. Own demand is known at once and that of the fleet within about a second, so no slow search for the host's part is left.

--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -11,12 +11,18 @@
  * capacity.
  *
  * @param fleetDemand demand of the workspaces on all hosts.
+ * @param liveHosts number of hosts of the fleet.
  */
-public class FairShares(private val fleetDemand: FleetAccounts, private val settings: FairShareSettings = FairShareSettings()) {
+public class FairShares(
+    private val fleetDemand: FleetAccounts,
+    private val settings: FairShareSettings = FairShareSettings(),
+    private val liveHosts: () -> Int,
+) {
     private class Bucket(var tokens: Double, var asOfMillis: Long)
 
     private val buckets = HashMap<WorkspaceId, Bucket>()
     private var fairShare = Double.MAX_VALUE
+    private var hostFraction = 0.0
     private var fairShareAtMillis = Long.MIN_VALUE / 2
 
     /** Total throughput of all engines, in tokens per second; null if unknown, in which case shares are unlimited. */
@@ -42,6 +48,18 @@
         return fairShare.takeIf { it < Double.MAX_VALUE }
     }
 
+    /**
+     * Returns the fraction of the engines' throughput that this host may use, from 0 to 1.
+     *
+     * It is the host's part of all demands, of which each workspace's counts up to its fair share. The callers of a workspace may use
+     * few hosts, so an even division among the hosts would leave such a workspace short. A host gets at least
+     * [FairShareSettings.minHostFraction] of an even part, so that it can probe the engines.
+     */
+    public fun hostFraction(nowMillis: Long): Double {
+        refreshFairShare(nowMillis)
+        return hostFraction
+    }
+
     /** Returns the demand of [workspace] on all hosts, in tokens per second. */
     public fun demandTokensPerSecond(nowMillis: Long, workspace: WorkspaceId): Double =
         fleetDemand.tokensPerSecond(nowMillis, workspace)
@@ -60,8 +78,14 @@
         if (nowMillis - fairShareAtMillis < settings.refreshMillis) return
         fairShareAtMillis = nowMillis
         val capacity = tokensPerSecond
-        val rates = fleetDemand.workspaces.map { fleetDemand.tokensPerSecond(nowMillis, it) }
-        fairShare = if (capacity == null) Double.MAX_VALUE else maxMinShare(rates, capacity * settings.capacityFactor)
+        val rates = fleetDemand.workspaces.associateWith { fleetDemand.tokensPerSecond(nowMillis, it) }
+        fairShare =
+            if (capacity == null) Double.MAX_VALUE else maxMinShare(rates.values.toList(), capacity * settings.capacityFactor)
+        val owed = rates.mapValues { minOf(it.value, fairShare) }
+        val owedHere = owed.entries.sumOf { (workspace, rate) -> rate * fleetDemand.ownFraction(nowMillis, workspace) }
+        val owedByAll = owed.values.sum()
+        val minFraction = settings.minHostFraction / liveHosts().coerceAtLeast(1)
+        hostFraction = if (owedByAll > 0) maxOf(owedHere / owedByAll, minFraction) else minFraction
     }
 
     private companion object {
@@ -97,11 +121,14 @@
  * @property burstSeconds capacity of a token bucket, in seconds of the workspace's share; shares are measured over four seconds.
  * @property initialBurstFraction initial fill level of a token bucket, when a workspace first exceeds its share; it has used
  * most of its burst by then.
+ * @property minHostFraction least part of the engines' throughput that a host may use, relative to an even part; small, because
+ * the parts of all hosts may add up to that much more than the whole.
  * @property refreshMillis minimum time between two computations of the share, in milliseconds; updates from peers take longer.
  */
 public data class FairShareSettings(
     public val capacityFactor: Double = 1.1,
     public val burstSeconds: Double = 1.5,
     public val initialBurstFraction: Double = 0.25,
+    public val minHostFraction: Double = 0.25,
     public val refreshMillis: Long = 50,
 )
--- a/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
@@ -10,9 +10,14 @@
  *
  * Prefill also delays the output tokens of all running requests. The sending rate is therefore limited by a token bucket with
  * additive increase and multiplicative decrease: it rises while requests start in time and streams keep their pace, and
- * falls when they don't.
+ * falls when they don't. The learned rate is that of all hosts together, of which this host may use its part.
+ *
+ * @param hostFraction part of the rate that this host may use, from 0 to 1; it follows the demand at this host.
  */
-public class EngineLoad(private val settings: EngineLoadSettings = EngineLoadSettings()) : UpstreamLoad {
+public class EngineLoad(
+    private val settings: EngineLoadSettings = EngineLoadSettings(),
+    private val hostFraction: () -> Double,
+) : UpstreamLoad {
     private class PendingPrefill(val cost: Double, val sentAtMillis: Long, val tokensAhead: Double)
 
     private val pending = LinkedHashMap<String, PendingPrefill>()
@@ -30,6 +35,8 @@
     private var slowdownSeenAtMillis = 0L
     private var lastReport: LoadReport? = null
 
+    private val ownTokensPerMilli: Double get() = tokensPerMilli * hostFraction()
+
     override val inFlight: Int get() = pending.size + running.size
 
     override fun hasRoom(nowMillis: Long, cost: Double): Boolean =
@@ -46,7 +53,7 @@
     override fun view(nowMillis: Long): LoadView {
         val report = lastReport?.takeIf { nowMillis - slowdownSeenAtMillis <= settings.reportTtlMillis }
         val freeSlots = report?.let { (it.slots - it.running - it.waiting).coerceAtLeast(0) }
-        return LoadView(tokensPerMilli * MILLIS_PER_SECOND, freeSlots)
+        return LoadView(ownTokensPerMilli * MILLIS_PER_SECOND, freeSlots)
     }
 
     override fun sent(nowMillis: Long, id: String, cost: Double) {
@@ -105,7 +112,7 @@
     }
 
     private fun tokensAt(nowMillis: Long): Double =
-        (availableTokens + (nowMillis - refilledAtMillis) * tokensPerMilli).coerceAtMost(settings.burstTokens)
+        (availableTokens + (nowMillis - refilledAtMillis) * ownTokensPerMilli).coerceAtMost(settings.burstTokens)
 
     private fun decreaseRate(nowMillis: Long) {
         if (nowMillis - decreasedAtMillis < settings.decreaseIntervalMillis) return
@@ -153,10 +160,10 @@
  * usual latency objective of 800 ms, which leaves the rest for this host's fair queue.
  * @property targetGapFraction fraction of the allowed pause between stream events that does not count as overload; a value
  * below 1 leaves headroom for slowdowns by other workloads on the engine's machine, which come without notice.
- * @property initialTokensPerMilli rate before the first sample, in tokens per millisecond; an equal share of an engine among
- * nine hosts.
+ * @property initialTokensPerMilli rate of all hosts before the first sample, in tokens per millisecond: the throughput of an engine.
  * @property minTokensPerMilli lower bound of the rate; above zero, so that every engine is probed again.
- * @property maxTokensPerMilli upper bound of the rate: the throughput of a whole engine.
+ * @property maxTokensPerMilli upper bound of the rate: several times the throughput of an engine, because hosts that could use
+ * it may send elsewhere.
  * @property increaseTokensPerMilli additive increase of the rate.
  * @property increaseIntervalMillis minimum time between two increases, in milliseconds.
  * @property decreaseFactor factor applied to the rate on a sign of overload.
@@ -179,10 +186,10 @@
     public val otherHostsDecayMillis: Double = 1_500.0,
     public val targetWaitMillis: Double = 200.0,
     public val targetGapFraction: Double = 1.0,
-    public val initialTokensPerMilli: Double = 10.0,
-    public val minTokensPerMilli: Double = 1.0,
-    public val maxTokensPerMilli: Double = 100.0,
-    public val increaseTokensPerMilli: Double = 0.4,
+    public val initialTokensPerMilli: Double = 90.0,
+    public val minTokensPerMilli: Double = 9.0,
+    public val maxTokensPerMilli: Double = 900.0,
+    public val increaseTokensPerMilli: Double = 3.6,
     public val increaseIntervalMillis: Long = 100,
     public val decreaseFactor: Double = 0.85,
     public val decreaseIntervalMillis: Long = 200,
@@ -190,19 +197,4 @@
     public val maxPendingTokens: Double = 30_000.0,
     public val slowdownTtlMillis: Long = 300,
     public val reportTtlMillis: Long = 1_000,
-) {
-    /** Scales the rates for a fleet of [hosts] hosts, which share the throughput of each engine. */
-    public fun forHosts(hosts: Int): EngineLoadSettings {
-        val scale = REFERENCE_HOSTS / hosts.coerceAtLeast(1)
-        return copy(
-            initialTokensPerMilli = initialTokensPerMilli * scale,
-            minTokensPerMilli = minTokensPerMilli * scale,
-            increaseTokensPerMilli = increaseTokensPerMilli * scale,
-        )
-    }
-
-    private companion object {
-        /** Number of hosts that the default rates are meant for. */
-        const val REFERENCE_HOSTS = 9.0
-    }
-}
+)
--- a/core/src/test/kotlin/buckthornbay/core/admission/FairSharesTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/FairSharesTest.kt
@@ -21,7 +21,7 @@
     /** For six seconds one workspace demands eight times the throughput of all engines and another one a tenth of it. */
     @Test
     fun aHotWorkspaceDoesNotTakeASmallOnesShare() {
-        val shares = FairShares(FleetAccounts(1_200.0))
+        val shares = FairShares(FleetAccounts(1_200.0)) { 1 }
         shares.tokensPerSecond = 100_000.0
         var hotWithin = 0.0
         for (nowMillis in 0L until 6_000L step 10L) {
@@ -34,7 +34,7 @@
 
     @Test
     fun withoutAKnownThroughputSharesAreUnlimited() {
-        val shares = FairShares(FleetAccounts(1_200.0))
+        val shares = FairShares(FleetAccounts(1_200.0)) { 1 }
         repeat(1_000) { assertTrue(shares.tryAcquire(it.toLong(), hot, 50_000.0)) }
     }
 
@@ -43,7 +43,7 @@
     fun hostsDivideOneShareAmongThem() {
         val hosts = List(9) { HostId("host-$it") }
         val accounts = hosts.map { FleetAccounts(1_200.0) }
-        val shares = accounts.map { fleetDemand -> FairShares(fleetDemand).apply { tokensPerSecond = 90_000.0 } }
+        val shares = accounts.map { fleetDemand -> FairShares(fleetDemand) { hosts.size }.apply { tokensPerSecond = 90_000.0 } }
         var within = 0.0
         for (nowMillis in 0L until 6_000L step 20L) {
             shares.forEach { if (it.tryAcquire(nowMillis, hot, 4_000.0) && nowMillis >= 2_000L) within += 4_000.0 }
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -4,7 +4,6 @@
 import buckthornbay.core.load.Candidate
 import buckthornbay.core.load.Choice
 import buckthornbay.core.load.EngineLoad
-import buckthornbay.core.load.EngineLoadSettings
 import buckthornbay.core.load.Placement
 import buckthornbay.core.load.PrefixCacheModel
 import buckthornbay.core.load.PromptPart
@@ -181,14 +180,14 @@
         private val aggregation = AccountsAggregation(self, accounts) { hosts.map { it.self } }
         val admission = Admission(
             AdmissionPolicy(random),
-            FairShares(requested).apply { tokensPerSecond = plan.tokensPerSecond },
+            FairShares(requested) { HOSTS }.apply { tokensPerSecond = plan.tokensPerSecond },
             CallerRetryTracker(),
         )
         private val candidates = List(engineShape.count) { engine ->
             Candidate(
                 UpstreamId("engine-$engine"),
                 regionOf(zoneOfEngine(engine)),
-                EngineLoad(EngineLoadSettings().forHosts(HOSTS)),
+                EngineLoad { admission.shares.hostFraction(clock.nowMillis()) },
                 UpstreamReliability(),
                 PrefixCacheModel(),
             )
--- a/core/src/test/kotlin/buckthornbay/core/load/EngineLoadTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/EngineLoadTest.kt
@@ -6,7 +6,7 @@
 import kotlin.test.assertTrue
 
 class EngineLoadTest {
-    private val load = EngineLoad()
+    private val load = EngineLoad { 1.0 / 9 }
 
     /** Sends requests of 8,000 tokens as fast as [load] allows for [seconds]; returns the number of tokens sent. */
     private fun sentTokens(load: EngineLoad, seconds: Int, startMillis: Long = 0, gapMillis: (Long) -> Long): Double {
@@ -29,8 +29,8 @@
 
     @Test
     fun theSendingRateFallsWhileStreamGapsAreTooLong() {
-        val shortGaps = sentTokens(EngineLoad(), seconds = 4) { 100 }
-        val longGaps = sentTokens(EngineLoad(), seconds = 4) { 400 }
+        val shortGaps = sentTokens(EngineLoad { 1.0 / 9 }, seconds = 4) { 100 }
+        val longGaps = sentTokens(EngineLoad { 1.0 / 9 }, seconds = 4) { 400 }
         assertTrue(longGaps < shortGaps / 3, "sent $longGaps tokens with long gaps, $shortGaps with short ones")
     }
 
--- a/core/src/test/kotlin/buckthornbay/core/load/PlacementTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/PlacementTest.kt
@@ -15,7 +15,7 @@
     private val placement = Placement(here)
 
     private fun engine(id: String, region: RegionId = here) =
-        Candidate(UpstreamId(id), region, EngineLoad(), UpstreamReliability(), PrefixCacheModel())
+        Candidate(UpstreamId(id), region, EngineLoad { 1.0 / 9 }, UpstreamReliability(), PrefixCacheModel())
 
     private fun plain(id: String, region: RegionId = here, slots: Int = 6) =
         Candidate(UpstreamId(id), region, PlainLoad(slots), UpstreamReliability(), cache = null)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -56,13 +56,13 @@
     private val log = DecisionLog(clock)
     private val registry = UpstreamRegistry()
     private val regions = settings.zones.associate { it.name to it.region }
-    private val upstreams = UpstreamTable(registry, { regions[it] }, clock) { membership.live().size }
     private val startedWork = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND)
     private val accounts =
         WorkspaceAccounts(startedWork, FleetAccounts(DEMAND_DECAY_MILLIS), FleetBacklog(startedWork), clock) {
             context.dispatcher.workspacesWaitingFor(it)
         }
-    private val shares = FairShares(accounts.requestedWork)
+    private val shares = FairShares(accounts.requestedWork) { membership.live().size }
+    private val upstreams = UpstreamTable(registry, { regions[it] }, clock) { shares.hostFraction(clock.nowMillis()) }
     private val connections = ConnectionPool(group, clock, PoolSettings())
     private val transport = NettyTransport(connections)
     private val fleetView = FleetView(deployment.format, registry, clock, log, ::fleetViewChanged)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
@@ -3,7 +3,6 @@
 import buckthornbay.core.Clock
 import buckthornbay.core.load.Candidate
 import buckthornbay.core.load.EngineLoad
-import buckthornbay.core.load.EngineLoadSettings
 import buckthornbay.core.load.PlainLoad
 import buckthornbay.core.load.PrefixCacheModel
 import buckthornbay.core.load.SendOutcome
@@ -42,7 +41,7 @@
     private val registry: UpstreamRegistry,
     private val regionOfZone: (ZoneId) -> RegionId?,
     private val clock: Clock,
-    private val liveHosts: () -> Int,
+    private val hostFraction: () -> Double,
 ) {
     private val states = HashMap<UpstreamId, UpstreamState>()
     private val byService = HashMap<ServiceId, List<Candidate>>()
@@ -70,7 +69,7 @@
 
     private fun newState(entry: UpstreamEntry): UpstreamState {
         val engine = routes?.service(entry.service)?.engine
-        val load = if (engine == null) PlainLoad(entry.slots) else EngineLoad(EngineLoadSettings().forHosts(liveHosts()))
+        val load = if (engine == null) PlainLoad(entry.slots) else EngineLoad(hostFraction = hostFraction)
         val cache = engine?.let { PrefixCacheModel() }
         return UpstreamState(entry, Candidate(entry.id, regionOfZone(entry.zone), load, UpstreamReliability(), cache), clock)
     }
