Divide what nobody demands evenly among the hosts

When all demands rise at once, for example as traffic starts, each host took its part to be nearly the whole.

The part is now what the host's callers are owed and an even part of the spare throughput.

--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -51,9 +51,11 @@
     /**
      * Returns the fraction of the engines' throughput that this host may use, from 0 to 1.
      *
-     * It is the host's part of all demands, of which each workspace's counts up to its fair share. The callers of a workspace may use
-     * few hosts, so an even division among the hosts would leave such a workspace short. A host gets at least
-     * [FairShareSettings.minHostFraction] of an even part, so that it can probe the engines.
+     * It is what the workspaces are owed for their demand at this host, each at most its fair share, and an even part of the
+     * throughput that nobody demands. The callers of a workspace may use few hosts, so an even division of the whole would leave
+     * such a workspace short. The demand at other hosts is known about a second late; when all demands rise at once, the even part
+     * keeps the hosts from each claiming the whole. A host gets at least [FairShareSettings.minHostFraction] of an even part, so
+     * that it can probe the engines.
      */
     public fun hostFraction(nowMillis: Long): Double {
         refreshFairShare(nowMillis)
@@ -81,11 +83,18 @@
         val rates = fleetDemand.workspaces.associateWith { fleetDemand.tokensPerSecond(nowMillis, it) }
         fairShare =
             if (capacity == null) Double.MAX_VALUE else maxMinShare(rates.values.toList(), capacity * settings.capacityFactor)
+        hostFraction = hostFraction(nowMillis, rates)
+    }
+
+    private fun hostFraction(nowMillis: Long, rates: Map<WorkspaceId, Double>): Double {
+        val evenFraction = 1.0 / liveHosts().coerceAtLeast(1)
+        val capacity = tokensPerSecond ?: return evenFraction
         val owed = rates.mapValues { minOf(it.value, fairShare) }
         val owedHere = owed.entries.sumOf { (workspace, rate) -> rate * fleetDemand.ownFraction(nowMillis, workspace) }
         val owedByAll = owed.values.sum()
-        val minFraction = settings.minHostFraction / liveHosts().coerceAtLeast(1)
-        hostFraction = if (owedByAll > 0) maxOf(owedHere / owedByAll, minFraction) else minFraction
+        val spare = (capacity - owedByAll).coerceAtLeast(0.0)
+        val fraction = (owedHere + spare * evenFraction) / (owedByAll + spare)
+        return maxOf(fraction, settings.minHostFraction * evenFraction)
     }
 
     private companion object {
--- a/core/src/test/kotlin/buckthornbay/core/admission/FairSharesTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/FairSharesTest.kt
@@ -53,6 +53,27 @@
         assertTrue(within <= throughput * 1.6, "granted $within of $throughput tokens")
     }
 
+    /** The first requests after a quiet time arrive everywhere at once, before the hosts have told each other. */
+    @Test
+    fun hostsThatDoNotKnowOfEachOthersDemandDoNotEachClaimTheWhole() {
+        val shares = FairShares(FleetAccounts(1_200.0)) { 10 }
+        shares.tokensPerSecond = 1_000_000.0
+        shares.tryAcquire(0, small, 12_000.0)
+        assertTrue(shares.hostFraction(60) < 0.2, "the host claims ${shares.hostFraction(60)}")
+    }
+
+    /** All callers of a workspace that asks for more than its share use one of ten hosts. */
+    @Test
+    fun aHostThatHasAllCallersOfAWorkspaceGetsThatWorkspacesShare() {
+        val accounts = FleetAccounts(1_200.0)
+        val shares = FairShares(accounts) { 10 }
+        shares.tokensPerSecond = 1_000_000.0
+        accounts.putSnapshot(0, "others", mapOf(hot to 6_000_000.0))
+        for (nowMillis in 0L until 1_000L step 10L) shares.tryAcquire(nowMillis, small, 20_000.0)
+        val fraction = shares.hostFraction(1_000)
+        assertTrue(fraction in 0.45..0.55, "two workspaces share the engines, the host has $fraction")
+    }
+
     private fun exchange(nowMillis: Long, hosts: List<HostId>, accounts: List<FleetAccounts>) {
         for (from in hosts.indices) {
             for (to in hosts.indices - from) accounts[to].receive(nowMillis, hosts[from], 1, accounts[from].totals())
