Bound an upstream's bytes without end in time and memory

An upstream may send bytes that are no response until the caller closes: blank lines or informational responses before a head, responses to other attempts, a body or an event that doesn't end. Header lines and a status line were bounded; the others were read until the request's deadline, and bodies and events were kept in memory.

Now at most 1 MiB and eight other responses may come before the head, a body may have 4 MiB and an event 1 MiB, and a head or an event that stays incomplete for 1.5 s ends the attempt, so that a repeatable request is sent elsewhere in time. Bodies from the store and from peers may have 8 MiB.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -53,6 +53,7 @@
     private var framing: EventStreamFraming? = null
     private var streaming = false
     private var ended = false
+    private var incompleteEventSinceMillis: Long? = null
 
     /** Whether the request may be sent to another upstream when this attempt fails. */
     val mayRetry: Boolean get() = listener.mayRetry
@@ -97,8 +98,15 @@
         broken(reason)
     }
 
+    /** Returns whether bytes have been coming for [millis] milliseconds that complete neither a response head nor an event. */
+    fun isStalledFor(millis: Long): Boolean {
+        val sinceMillis = incompleteEventSinceMillis ?: connection?.incompleteHeadSinceMillis ?: return false
+        return context.clock.nowMillis() - sinceMillis >= millis
+    }
+
     /** Pauses or resumes reading of the response, for back-pressure. */
     fun setReading(reading: Boolean) {
+        if (!reading) incompleteEventSinceMillis = null
         connection?.setReading(reading)
     }
 
@@ -125,12 +133,22 @@
         val framing = framing
         if (framing != null) {
             framing.feed(bytes, ::forwardEvent)
+            checkIncompleteEvent(framing)
             return
         }
+        if ((body?.readableBytes() ?: 0) + bytes.readableBytes() > MAX_BODY_BYTES) {
+            return failAndClose("the response body is longer than $MAX_BODY_BYTES bytes")
+        }
         val buffered = body ?: context.allocator.compositeBuffer(MAX_BODY_COMPONENTS).also { body = it }
         buffered.addComponent(true, bytes.retain())
     }
 
+    private fun checkIncompleteEvent(framing: EventStreamFraming) {
+        val incompleteBytes = framing.incompleteBytes
+        if (incompleteBytes > MAX_EVENT_BYTES) return failAndClose("an event is longer than $MAX_EVENT_BYTES bytes")
+        if (incompleteBytes > 0 && incompleteEventSinceMillis == null) incompleteEventSinceMillis = context.clock.nowMillis()
+    }
+
     override fun readComplete() {
         if (streaming && !ended) listener.eventBatchComplete(this)
     }
@@ -152,6 +170,7 @@
             event.bytes.release()
             return
         }
+        incompleteEventSinceMillis = null
         if (!streaming) startStream()
         listener.eventReceived(this, event)
     }
@@ -230,5 +249,11 @@
         const val FIRST_ERROR = 400
         const val FIRST_SERVER_ERROR = 500
         const val MAX_BODY_COMPONENTS = 4_096
+
+        /** Largest buffered response body, in bytes; as large as the largest request body by default. */
+        const val MAX_BODY_BYTES = 4_194_304
+
+        /** Largest event of a stream, in bytes; an event holds a few output tokens. */
+        const val MAX_EVENT_BYTES = 1_048_576
     }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -186,12 +186,19 @@
             (callers.connections + hostHandler.connections).forEach { it.closeIfTimedOut(nowMillis) }
             connections.closeStale()
             if (registry.expire(nowMillis).isNotEmpty()) fleetViewChanged()
+            endStalledAttempts()
             moveFromSilentUpstreams(nowMillis)
             context.dispatcher.placeAll()
             delay(MAINTENANCE_PERIOD_MILLIS.milliseconds)
         }
     }
 
+    /** Ends the attempts whose upstream keeps sending bytes that complete nothing. */
+    private fun endStalledAttempts() {
+        upstreams.all().flatMap { it.attempts }.filter { it.isStalledFor(STALL_TIMEOUT_MILLIS) }
+            .forEach { it.failAndClose("a response head or an event stayed incomplete for $STALL_TIMEOUT_MILLIS ms") }
+    }
+
     private fun moveFromSilentUpstreams(nowMillis: Long) {
         for (upstream in upstreams.all()) {
             val overdue = upstream.attempts.filter { nowMillis - it.sentAtMillis > SILENCE_TIMEOUT_MILLIS }
@@ -276,6 +283,12 @@
          */
         const val SILENCE_TIMEOUT_MILLIS = 1_500L
 
+        /**
+         * Time after which an incomplete response head or event ends its attempt, in milliseconds; an upstream writes each of them
+         * at once, and a lost packet is sent again within a second.
+         */
+        const val STALL_TIMEOUT_MILLIS = 1_500L
+
         /**
          * Membership intervals with several heartbeats a second, so that a failed host disappears from the address lists within
          * two seconds.
--- a/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
@@ -53,6 +53,16 @@
     private var lastWrite: ChannelFuture? = null
     private var keepAlive = true
     private var finished = false
+    private var headAccepted = false
+    private var bytesBeforeHead = 0L
+    private var skippedResponses = 0
+
+    /**
+     * Time since which bytes have arrived that don't complete the head of the awaited response, in milliseconds; null if there
+     * are no such bytes.
+     */
+    var incompleteHeadSinceMillis: Long? = null
+        private set
 
     /** Time at which the connection became idle, in milliseconds. */
     var idleSinceMillis: Long = 0
@@ -74,6 +84,10 @@
     fun send(request: FullHttpRequest, listener: ResponseListener) {
         check(this.listener == null) { "another request is in progress on this connection" }
         this.listener = listener
+        headAccepted = false
+        bytesBeforeHead = 0
+        skippedResponses = 0
+        incompleteHeadSinceMillis = null
         decoder.isHeadRequest = request.method() == HttpMethod.HEAD
         keepAlive = true
         lastWrite = channel.writeAndFlush(request)
@@ -112,13 +126,25 @@
         keepAlive = keepAlive && HttpUtil.isKeepAlive(response)
         keepAliveMillis = response.headers()["Keep-Alive"]?.let(::keepAliveTimeoutMillis) ?: DEFAULT_KEEP_ALIVE_MILLIS
         skippingResponse = !listener.head(response)
+        if (skippingResponse) return
+        headAccepted = true
+        incompleteHeadSinceMillis = null
+    }
+
+    /** Fails if the server sends one response after the other, none of which is the awaited one. */
+    private fun skipped() {
+        incompleteHeadSinceMillis = null
+        if (++skippedResponses > MAX_SKIPPED_RESPONSES) fail("more than $MAX_SKIPPED_RESPONSES responses came before the awaited one")
     }
 
     private fun content(content: HttpContent) {
         val last = content is LastHttpContent
         when {
-            informational -> return
-            skippingResponse -> if (last) skippingResponse = false
+            informational -> if (last) skipped()
+            skippingResponse -> if (last) {
+                skippingResponse = false
+                skipped()
+            }
             else -> {
                 val listener = listener ?: return
                 if (content.content().isReadable) listener.content(content.content())
@@ -176,7 +202,12 @@
         return seconds * MILLIS_PER_SECOND
     }
 
-    /** A handler that closes the connection when bytes arrive while no response is awaited. */
+    private fun countBeforeHead(bytes: Int) {
+        bytesBeforeHead += bytes
+        if (incompleteHeadSinceMillis == null) incompleteHeadSinceMillis = clock.nowMillis()
+    }
+
+    /** A handler that closes the connection when bytes arrive while no response is awaited, or too many before its head. */
     private inner class UnsolicitedBytesGuard : ChannelInboundHandlerAdapter() {
         override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
             if (listener == null) {
@@ -184,6 +215,12 @@
                 fail("bytes came without a request")
                 return
             }
+            if (!headAccepted) countBeforeHead((msg as? ByteBuf)?.readableBytes() ?: 0)
+            if (bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
+                ReferenceCountUtil.release(msg)
+                fail("no response head within $MAX_BYTES_BEFORE_HEAD bytes")
+                return
+            }
             ctx.fireChannelRead(msg)
         }
     }
@@ -207,5 +244,14 @@
 
         /** Largest accepted size of a response head, in bytes. */
         const val MAX_RESPONSE_HEAD_BYTES = 32_768
+
+        /**
+         * Largest number of bytes that may come before the head of the awaited response, in bytes: blank lines, informational
+         * responses and late responses to earlier requests, which are skipped.
+         */
+        const val MAX_BYTES_BEFORE_HEAD = 1_048_576L
+
+        /** Largest number of responses that are skipped; a server sends at most a few late or informational ones. */
+        const val MAX_SKIPPED_RESPONSES = 8
     }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
@@ -76,7 +76,12 @@
             return true
         }
 
-        override fun content(bytes: ByteBuf) = body.append(bytes)
+        override fun content(bytes: ByteBuf) {
+            body.append(bytes)
+            if (body.size <= MAX_BODY_BYTES) return
+            cancel()
+            broken("the response body is longer than $MAX_BODY_BYTES bytes")
+        }
 
         override fun complete() {
             connection = null
@@ -96,11 +101,16 @@
             piece.readBytes(bytes, piece.readableBytes())
         }
 
+        val size: Int get() = bytes.size()
+
         fun text(): String = bytes.toString(Charsets.UTF_8)
     }
 
     private companion object {
         /** Longest idle time of a connection that is reused, in milliseconds. */
         const val MAX_IDLE_MILLIS = 3_000L
+
+        /** Largest response body of a peer or the store, in bytes; a page of the store holds about one megabyte. */
+        const val MAX_BODY_BYTES = 8_388_608
     }
 }
