Count each request once for the retry budget

CallerHandler and RequestLifecycle both recorded a request, so that all hosts together could make 0.75 x (0.4 x requests + slack) repetitions in ten seconds, more than the 0.2 x requests + slack that are allowed from 145 requests on. Only the lifecycle records them now.

UpstreamContractTest counts the repetitions of 400 requests.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -79,7 +79,6 @@
         context.metrics.recordAskedTokens(terms)
         val proxied = ProxiedRequest(context, terms, request, caller)
         context.requests += proxied
-        context.retryBudgets.allowanceFor(service).recordRequest()
         proxied.start()
         return proxied
     }
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
@@ -226,6 +226,18 @@
         assertEquals(cacheHolder.address, other.requests.single().header("Kv-Fetch"))
     }
 
+    /** The fixture allows a fifth of the requests and 60 more within ten seconds. */
+    @Test
+    fun eachRequestCountsOnceForTheRetryBudget() = GatewayFixture.run {
+        val upstream = upstream("plain-1", "plain") { it.close() }
+        awaitReady()
+        val requests = 400
+        repeat(requests) { call(request("/read/x", "id-$it")) }
+        val retries = upstream.requests.size - requests
+        assertTrue(retries <= 0.2 * requests + 60, "$retries retries of $requests requests")
+        assertTrue(retries > 60, "$retries retries of $requests requests")
+    }
+
     @Test
     fun aRequestEndsAtTheTimeoutOfItsRoute() = GatewayFixture.run {
         upstream("plain-1", "plain") { Thread.sleep(4_000) }
