--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -89,9 +89,10 @@
     private fun hostFraction(nowMillis: Long, rates: Map<WorkspaceId, Double>): Double {
         val evenFraction = 1.0 / liveHosts().coerceAtLeast(1)
         val capacity = tokensPerSecond ?: return evenFraction
-        val owed = rates.mapValues { minOf(it.value, fairShare) }
-        val owedHere = owed.entries.sumOf { (workspace, rate) -> rate * fleetDemand.ownFraction(nowMillis, workspace) }
-        val owedByAll = owed.values.sum()
+        val owedByAll = rates.values.sumOf { minOf(it, fairShare) }
+        val owedHere = rates.entries.sumOf { (workspace, rate) ->
+            fleetDemand.ownTokensPerSecond(nowMillis, workspace) * if (rate > fairShare) fairShare / rate else 1.0
+        }
         val spare = (capacity - owedByAll).coerceAtLeast(0.0)
         val fraction = (owedHere + spare * evenFraction) / (owedByAll + spare)
         return maxOf(fraction, settings.minHostFraction * evenFraction)
--- a/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
@@ -82,6 +82,10 @@
     public fun tokensPerSecond(nowMillis: Long, workspace: WorkspaceId): Double =
         recentTokens(nowMillis, workspace) / timeConstantMillis * MILLIS_PER_SECOND
 
+    /** Returns the recent work of [workspace] on this host, in tokens per second. */
+    public fun ownTokensPerSecond(nowMillis: Long, workspace: WorkspaceId): Double =
+        own.recent(nowMillis, workspace) / timeConstantMillis * MILLIS_PER_SECOND
+
     /** Returns the fraction of the recent work of [workspace] that was on this host, from 0 to 1. */
     public fun ownFraction(nowMillis: Long, workspace: WorkspaceId): Double {
         val all = recentTokens(nowMillis, workspace)
