--- a/core/src/test/kotlin/buckthornbay/core/admission/LargeFleetFairnessTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/LargeFleetFairnessTest.kt
@@ -11,12 +11,28 @@
     /** The callers of one workspace use one host while another workspace asks all hosts for more than all engines can serve. */
     @Test
     fun aWorkspaceWhoseCallersUseOneHostGetsItsShare() {
-        for (seed in 1L..3L) {
-            val fleet = SimulatedFleet(EngineShape(count = 78, slots = 12, stepMillis = 2.77, prefillTokensPerMilli = 85.2), PLAN, seed)
-            fleet.run(seconds = 16)
-            val unfair = unfairWindows(fleet, seconds = 16)
-            assertTrue(unfair.isEmpty(), "seed $seed: ${unfair.joinToString("\n")}")
-        }
+        for (seed in 1L..3L) assertFair(MANY_ENGINES, planWith { if (it == 1) listOf(7) else null }, seed)
+    }
+
+    /** The same with fewer and larger engines. */
+    @Test
+    fun aWorkspaceWhoseCallersUseOneHostGetsItsShareOfLargeEngines() {
+        assertFair(LARGE_ENGINES, planWith { if (it == 1) listOf(7) else null }, seed = 4)
+    }
+
+    /** The callers of three workspaces that surge use the hosts of one zone. */
+    @Test
+    fun workspacesWhoseCallersUseOneZoneGetTheirShares() {
+        val zone = (0 until SimulatedFleet.HOSTS).filter { it % SimulatedFleet.ZONES == 2 }
+        val surges = SURGES + Surge(2, 4.0, 6_500, 16_000) + Surge(3, 5.0, 7_000, 16_000)
+        assertFair(LARGE_ENGINES, planWith(surges) { if (it in 1..3) zone else null }, seed = 5)
+    }
+
+    private fun assertFair(engines: EngineShape, plan: TrafficPlan, seed: Long) {
+        val fleet = SimulatedFleet(engines, plan, seed)
+        fleet.run(SECONDS)
+        val unfair = unfairWindows(fleet, SECONDS)
+        assertTrue(unfair.isEmpty(), "seed $seed: ${unfair.joinToString("\n")}")
     }
 
     private fun unfairWindows(fleet: SimulatedFleet, seconds: Int): List<String> =
@@ -42,16 +58,17 @@
         const val WINDOW_SECONDS = 6
         const val LARGE_REQUESTS = 3
 
-        val PLAN = TrafficPlan(
-            classes = listOf(
-                TrafficClass("briefing", 100.0, 600, 10_000, sharedTokens = 5_382, sharedParts = 604, ownTokens = 6_610, outputTokens = 380),
-                TrafficClass("chat", 125.0, 600, 8_000, sharedTokens = 198, sharedParts = 754, ownTokens = 628, outputTokens = 290),
-                TrafficClass("summary", 210.0, 1_200, 2_500, sharedTokens = 568, sharedParts = 700, ownTokens = 1_800, outputTokens = 20),
-            ),
-            workspaces = 30,
-            hostOfWorkspace = { if (it == 1) 7 else null },
-            tokensPerSecond = 2_600_000.0,
-            surges = listOf(Surge(0, 12.0, 6_000, 16_000), Surge(1, 3.0, 7_000, 16_000)),
+        const val SECONDS = 16
+        val MANY_ENGINES = EngineShape(count = 78, slots = 12, stepMillis = 2.77, prefillTokensPerMilli = 85.2)
+        val LARGE_ENGINES = EngineShape(count = 42, slots = 32, stepMillis = 3.74, prefillTokensPerMilli = 81.9)
+        val SURGES = listOf(Surge(0, 12.0, 6_000, 16_000), Surge(1, 3.0, 7_000, 16_000))
+        val CLASSES = listOf(
+            TrafficClass("briefing", 100.0, 600, 10_000, sharedTokens = 5_382, sharedParts = 604, ownTokens = 6_610, outputTokens = 380),
+            TrafficClass("chat", 125.0, 600, 8_000, sharedTokens = 198, sharedParts = 754, ownTokens = 628, outputTokens = 290),
+            TrafficClass("summary", 210.0, 1_200, 2_500, sharedTokens = 568, sharedParts = 700, ownTokens = 1_800, outputTokens = 20),
         )
+
+        fun planWith(surges: List<Surge> = SURGES, hostsOfWorkspace: (Int) -> List<Int>?) =
+            TrafficPlan(CLASSES, workspaces = 30, hostsOfWorkspace, tokensPerSecond = 2_600_000.0, surges)
     }
 }
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -48,12 +48,12 @@
 /**
  * Load of a [SimulatedFleet].
  *
- * @property hostOfWorkspace host that all callers of a workspace use, by workspace; null if they use hosts of all zones.
+ * @property hostsOfWorkspace hosts that the callers of a workspace use, by workspace; null if callers everywhere belong to it.
  */
 class TrafficPlan(
     val classes: List<TrafficClass>,
     val workspaces: Int,
-    val hostOfWorkspace: (Int) -> Int?,
+    val hostsOfWorkspace: (Int) -> List<Int>?,
     val tokensPerSecond: Double,
     val surges: List<Surge>,
 )
@@ -104,7 +104,8 @@
         // Rates change within a second, so a long gap is drawn again.
         if (untilNextMillis > REDRAW_MILLIS) return schedule(REDRAW_MILLIS) { scheduleArrival(workspace, kind) }
         schedule(untilNextMillis) {
-            val home = plan.hostOfWorkspace(workspace) ?: callerHosts[random.nextInt(ZONES)][random.nextInt(CALLERS_PER_ZONE)]
+            val home = plan.hostsOfWorkspace(workspace)?.let { it[random.nextInt(it.size)] }
+                ?: callerHosts[random.nextInt(ZONES)][random.nextInt(CALLERS_PER_ZONE)]
             SimulatedCaller(workspace, kind, demandOf(kind), clock.nowMillis() + kind.timeoutMillis)
                 .send(hosts[home], retriesLeft = 1)
             scheduleArrival(workspace, kind)
