--- a/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
@@ -46,7 +46,8 @@
 )
 
 /**
- * The aggregation of workspace accounts in fleets that are too large for every pair of hosts to exchange heartbeats within a second.
+ * The aggregation of workspace accounts in fleets that are too large for every pair of hosts to exchange heartbeats within a
+ * second.
  *
  * Rendezvous hashing selects one aggregator host in each availability zone. The other hosts of the zone send it their accounts
  * and receive those of the rest of the fleet. Aggregators exchange the zone sums with each other. Values are absolute and each
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -52,10 +52,10 @@
      * Returns the fraction of the engines' throughput that this host may use, from 0 to 1.
      *
      * It is what the workspaces are owed for their demand at this host, each at most its fair share, and an even part of the
-     * throughput that nobody demands. The callers of a workspace may use few hosts, so an even division of the whole would leave
-     * such a workspace short. The demand at other hosts is known about a second late; when all demands rise at once, the even part
-     * keeps the hosts from each claiming the whole. A host gets at least [FairShareSettings.minHostFraction] of an even part, so
-     * that it can probe the engines.
+     * throughput that nobody demands. The callers of a workspace may use few hosts, so an even division of the whole would
+     * leave such a workspace short. The demand at other hosts is known about a second late; when all demands rise at once, the
+     * even part keeps the hosts from each claiming the whole. A host gets at least [FairShareSettings.minHostFraction] of an
+     * even part, so that it can probe the engines.
      */
     public fun hostFraction(nowMillis: Long): Double {
         refreshFairShare(nowMillis)
--- a/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/EngineLoad.kt
@@ -160,7 +160,8 @@
  * usual latency objective of 800 ms, which leaves the rest for this host's fair queue.
  * @property targetGapFraction fraction of the allowed pause between stream events that does not count as overload; a value
  * below 1 leaves headroom for slowdowns by other workloads on the engine's machine, which come without notice.
- * @property initialTokensPerMilli rate of all hosts before the first sample, in tokens per millisecond: the throughput of an engine.
+ * @property initialTokensPerMilli rate of all hosts before the first sample, in tokens per millisecond; the throughput of an
+ * engine.
  * @property minTokensPerMilli lower bound of the rate; above zero, so that every engine is probed again.
  * @property maxTokensPerMilli upper bound of the rate: several times the throughput of an engine, because hosts that could use
  * it may send elsewhere.
--- a/core/src/main/kotlin/buckthornbay/core/load/PlainLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/PlainLoad.kt
@@ -30,8 +30,7 @@
 
     override fun serviceMillis(cost: Double): Double = serviceMillis
 
-    override fun view(nowMillis: Long): LoadView =
-        LoadView(windowRequests * MILLIS_PER_SECOND / serviceMillis, freeSlots = null)
+    override fun view(nowMillis: Long): LoadView = LoadView(windowRequests * MILLIS_PER_SECOND / serviceMillis, freeSlots = null)
 
     override fun sent(nowMillis: Long, id: String, cost: Double) {
         open[id] = nowMillis
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -130,7 +130,11 @@
         return TokenDemand(parts.sumOf { it.tokens }, kind.outputTokens, parts)
     }
 
-    private fun secondOf(workspace: Int) = service[workspace][(timeMillis / MILLIS_PER_SECOND).toInt().coerceAtMost(MAX_SECONDS - 1)]
+    private fun secondOf(workspace: Int) = service[workspace][
+        (timeMillis / MILLIS_PER_SECOND).toInt().coerceAtMost(
+            MAX_SECONDS - 1,
+        ),
+    ]
 
     private fun delayMillis(hostZone: Int, engine: Int): Double = when {
         hostZone == zoneOfEngine(engine) -> 0.2
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -62,7 +62,7 @@
     /** Sends [request] on a new connection or a pooled one that was idle for at most [maxIdleMillis] milliseconds. */
     fun start(request: FullHttpRequest, maxIdleMillis: Long) {
         upstream.attempts += this
-        context.connections.acquire(upstream.entry.address, maxIdleMillis) { result ->
+        context.access.connections.acquire(upstream.entry.address, maxIdleMillis) { result ->
             when {
                 ended -> {
                     request.release()
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -41,7 +41,7 @@
     private fun refusalInputs(nowMillis: Long, retryAfterSeconds: String) = RefusalInputs(
         waitingCount = context.dispatcher.waitingCount,
         demandTokensPerSecond =
-            terms.workspace?.let { context.admission.shares.demandTokensPerSecond(nowMillis, it) } ?: 0.0,
+        terms.workspace?.let { context.admission.shares.demandTokensPerSecond(nowMillis, it) } ?: 0.0,
         begunTokensPerSecond = terms.workspace?.let { context.accounts.startedWork.tokensPerSecond(nowMillis, it) } ?: 0.0,
         shareTokensPerSecond = context.admission.shares.shareTokensPerSecond(nowMillis),
         waitingElsewhere = context.accounts.backlog.waitingCount(nowMillis),
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -47,7 +47,8 @@
             "begun_tokens_per_s=${inputs.begunTokensPerSecond.toLong()} " +
             "share_tokens_per_s=${inputs.shareTokensPerSecond?.toLong()} waiting_elsewhere=${inputs.waitingElsewhere} " +
             inputs.capacity.run {
-                "upstreams=$upstreams reporting=$reportingUpstreams free_slots=$freeSlots allowed_per_s=${allowedPerSecond.toLong()} "
+                "upstreams=$upstreams reporting=$reportingUpstreams free_slots=$freeSlots " +
+                    "allowed_per_s=${allowedPerSecond.toLong()} "
             } + "retry_after_s=${inputs.retryAfterSeconds} " +
             "reason=\"$reason\" ${versionFields()}"
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -9,16 +9,17 @@
 import io.netty.buffer.UnpooledByteBufAllocator
 import io.netty.channel.EventLoop
 
+/** The components that requests use to reach upstreams. */
+internal class UpstreamAccess(val upstreams: UpstreamTable, val connections: ConnectionPool, val retryBudgets: RetryBudgets)
+
 /** The components that request handlers share. All of them are confined to one event loop. */
 internal class GatewayContext(
     val clock: Clock,
     val eventLoop: EventLoop,
     val callerInterface: CallerInterface,
-    val connections: ConnectionPool,
+    val access: UpstreamAccess,
     val admission: Admission,
     val accounts: WorkspaceAccounts,
-    val upstreams: UpstreamTable,
-    val retryBudgets: RetryBudgets,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
 ) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -91,19 +91,18 @@
             StoreReachability(watcherSelection, clock, log, peers::watchesStore),
             random,
         )
+    private val retryBudgets = RetryBudgets(
+        settings.bounds.run { RetrySettings(retryRatio, (retryWindowSeconds * MILLIS_PER_SECOND).toLong(), retrySlack) },
+        clock,
+    ) { membership.live().size }
     private val metrics = GatewayMetrics()
     private val context: GatewayContext = GatewayContext(
         clock,
         eventLoop,
         deployment.callerInterface,
-        connections,
+        UpstreamAccess(upstreams, connections, retryBudgets),
         Admission(AdmissionPolicy(random), shares, CallerRetryTracker()),
         accounts,
-        upstreams,
-        RetryBudgets(
-            settings.bounds.run { RetrySettings(retryRatio, (retryWindowSeconds * MILLIS_PER_SECOND).toLong(), retrySlack) },
-            clock,
-        ) { membership.live().size },
         log,
         metrics,
     )
@@ -284,8 +283,8 @@
         const val SILENCE_TIMEOUT_MILLIS = 1_500L
 
         /**
-         * Time after which an incomplete response head or event ends its attempt, in milliseconds; an upstream writes each of them
-         * at once, and a lost packet is sent again within a second.
+         * Time after which an incomplete response head or event ends its attempt, in milliseconds; an upstream writes each of
+         * them at once, and a lost packet is sent again within a second.
          */
         const val STALL_TIMEOUT_MILLIS = 1_500L
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
@@ -134,7 +134,11 @@
     /** Fails if the server sends one response after the other, none of which is the awaited one. */
     private fun skipped() {
         incompleteHeadSinceMillis = null
-        if (++skippedResponses > MAX_SKIPPED_RESPONSES) fail("more than $MAX_SKIPPED_RESPONSES responses came before the awaited one")
+        if (++skippedResponses >
+            MAX_SKIPPED_RESPONSES
+        ) {
+            fail("more than $MAX_SKIPPED_RESPONSES responses came before the awaited one")
+        }
     }
 
     private fun content(content: HttpContent) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -39,7 +39,7 @@
     private val lifecycle = RequestLifecycle(
         unrepeatable = !route.repeatable,
         resumable = route.kind == RouteKind.EVENT_STREAM && route.resumable,
-        budget = context.retryBudgets.allowanceFor(terms.service),
+        budget = context.access.retryBudgets.allowanceFor(terms.service),
         limits = AttemptLimits(
             maxRuns = route.maxAttempts,
             maxSends = route.maxAttempts + EXTRA_UNPROCESSED_SENDS,
@@ -91,8 +91,8 @@
 
     override fun send(choice: Choice) {
         queueTimer?.cancel(false)
-        val upstream = context.upstreams.stateOf(choice.upstream)
-        val copyFrom = choice.copyFrom?.let { context.upstreams.stateOf(it).entry.address }
+        val upstream = context.access.upstreams.stateOf(choice.upstream)
+        val copyFrom = choice.copyFrom?.let { context.access.upstreams.stateOf(it).entry.address }
         val resuming = lifecycle.state == RequestState.STREAMING
         if (!resuming) lifecycle.dispatched()
         triedUpstreams += upstream.entry.id
