--- a/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
@@ -134,11 +134,8 @@
     /** Fails if the server sends one response after the other, none of which is the awaited one. */
     private fun skipped() {
         incompleteHeadSinceMillis = null
-        if (++skippedResponses >
-            MAX_SKIPPED_RESPONSES
-        ) {
-            fail("more than $MAX_SKIPPED_RESPONSES responses came before the awaited one")
-        }
+        skippedResponses++
+        if (skippedResponses > MAX_SKIPPED_RESPONSES) fail("more than $MAX_SKIPPED_RESPONSES other responses came first")
     }
 
     private fun content(content: HttpContent) {
