Name the prompt parts and the attempt of failed attempts, and count them by kind

The record of the crash incident can't tell whether crashes share a prompt part, nor whether repetitions or new requests carry it from engine to engine.

--- a/core/src/main/kotlin/buckthornbay/core/load/TokenDemand.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/TokenDemand.kt
@@ -15,11 +15,14 @@
     public val maxOutputTokens: Int,
     public val parts: List<PromptPart>,
 ) {
+    /** The parts that other requests may share, in order. */
+    public val sharedParts: List<PromptPart> = parts.dropLast(1)
+
     /** Id of the last part that other requests share, or null if there is none. */
-    public val sharedPart: String? = parts.dropLast(1).lastOrNull()?.id
+    public val sharedPart: String? = sharedParts.lastOrNull()?.id
 
     /** Length of the shared prefix in tokens. */
-    public val sharedTokens: Int = parts.dropLast(1).sumOf { it.tokens }
+    public val sharedTokens: Int = sharedParts.sumOf { it.tokens }
 
     /** Work in tokens, as counted for a workspace's fair share: an output token counts as two prompt tokens. */
     public val workTokens: Double get() = promptTokens + OUTPUT_TOKEN_WEIGHT * maxOutputTokens
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -31,9 +31,11 @@
             "at_home=${choice.onPreferredEngine} copy_from=${choice.copyFrom?.id} ${versionFields()}"
     }
 
-    fun attemptFailed(terms: RequestTerms, upstream: UpstreamId, kind: FailureKind, reason: String) = logRequestLine {
-        "event=attempt_failed id=${terms.id} route=${terms.route.name} upstream=$upstream kind=$kind reason=\"$reason\""
-    }
+    fun attemptFailed(terms: RequestTerms, upstream: UpstreamId, attempt: Int, kind: FailureKind, reason: String) =
+        logRequestLine {
+            "event=attempt_failed id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} upstream=$upstream " +
+                "attempt=$attempt kind=$kind parts=${terms.demand?.sharedParts?.joinToString(",") { it.id }} reason=\"$reason\""
+        }
 
     fun ended(terms: RequestTerms, times: RequestTimes, reason: String) = logRequestLine {
         "event=ended id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} state=${times.state} " +
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -1,5 +1,6 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.Timer
@@ -15,8 +16,15 @@
     private val tokens = HashMap<String, Counter>()
     private val timers = HashMap<String, Timer>()
 
+    private val failedAttempts = FailureKind.entries.associateWith { kind ->
+        registry.counter("buckthornbay.upstream.attempts.failed", "kind", kind.name.lowercase())
+    }
+
     fun connectionOpened() = connections.increment()
 
+    /** Records a failed attempt at an upstream. */
+    fun attemptFailed(kind: FailureKind) = failedAttempts.getValue(kind).increment()
+
     /**
      * Records the time from the arrival of a streamed request to the first event of its response, or to the end of a response
      * without events.
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -197,7 +197,8 @@
     override fun failed(attempt: Attempt, kind: FailureKind, reason: String) {
         this.attempt = null
         streamTimes.recordInterruption()
-        context.log.attemptFailed(terms, attempt.upstream.entry.id, kind, reason)
+        context.metrics.attemptFailed(kind)
+        context.log.attemptFailed(terms, attempt.upstream.entry.id, triedUpstreams.size, kind, reason)
         proceed(lifecycle.failed(kind), reason)
     }
 
