--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformEngineServer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformEngineServer.kt
@@ -1,6 +1,8 @@
 package buckthornbay.testkit.platform
 
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.Semaphore
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.locks.ReentrantLock
@@ -48,8 +50,34 @@
     public var slowdown: Double = 1.0
 }
 
-/** The engines of a test, which can copy cached prompt parts from each other by address. */
-public class EngineFleet : AutoCloseable {
+/** A prompt part that crashes each engine of an [EngineFleet] that begins to answer a request with it. */
+public class CrashingPart(public val id: String) {
+    private val arrivals = CopyOnWriteArrayList<Long>()
+    private val crashes = CopyOnWriteArrayList<Long>()
+
+    /** Times at which requests with the part reached an engine, as values of [System.nanoTime]. */
+    public val arrivalsNanos: List<Long> get() = arrivals
+
+    /** Times at which engines crashed, as values of [System.nanoTime]. */
+    public val crashesNanos: List<Long> get() = crashes
+
+    internal fun arrived() {
+        arrivals += System.nanoTime()
+    }
+
+    internal fun crashed() {
+        crashes += System.nanoTime()
+    }
+}
+
+/**
+ * The engines of a test, which can copy cached prompt parts from each other by address.
+ *
+ * @param crashingPart part that crashes engines; null if there is none.
+ * @param onCrash called with the address of a crashed engine.
+ */
+public class EngineFleet(internal val crashingPart: CrashingPart? = null, internal val onCrash: (address: String) -> Unit = {}) :
+    AutoCloseable {
     private val engines = LinkedHashMap<String, PlatformEngineServer>()
 
     /** Starts an engine. */
@@ -84,6 +112,7 @@
     private val prefilledCount = AtomicLong()
     private val copiedCount = AtomicLong()
     private val waiting = AtomicInteger()
+    private val crashed = AtomicBoolean()
     private val upstream = ScriptedUpstream(::serve)
 
     /** Faults to inject; all are off initially. */
@@ -108,12 +137,15 @@
     private fun serve(exchange: ScriptedExchange) {
         if (faults.rejects) return exchange.reject()
         if (faults.silent) return
+        val crashingPart = fleet.crashingPart?.takeIf { part -> sharedParts(exchange.request).any { it.first == part.id } }
+        crashingPart?.arrived()
         waiting.incrementAndGet()
         slots.acquire()
         waiting.decrementAndGet()
         try {
             recordLoad()
             processPrompt(exchange.request)
+            if (crashingPart != null) return crash(crashingPart)
             stream(exchange)
         } finally {
             slots.release()
@@ -121,6 +153,13 @@
         }
     }
 
+    private fun crash(part: CrashingPart) {
+        if (!crashed.compareAndSet(false, true)) return
+        part.crashed()
+        close()
+        fleet.onCrash(address)
+    }
+
     private fun processPrompt(request: ScriptedRequest) {
         val parts = sharedParts(request)
         val promptTokens = request.header("X-Buckthornbay-Token-Count")?.substringBefore(',')?.toInt() ?: 0
