Quarantine prompt parts under which engines crash, in the whole fleet

Cause: no host connected a crash with what its requests had in common. A broken attempt only counted against the upstream, so that new requests with the part were sent like any others, and broken ones were repeated.

Evidence: in the reproduction 56 of 111 broken attempts with the part were first attempts; every crash left requests with it unanswered, and no request with it was answered.

Hosts now gossip which shared parts were unanswered at a crash and which parts were answered since. A part that explains three successive crashes, and none of whose requests was answered in between, is refused at once on every host. The fleet's crashes are counted together, and sound parts are cleared by their answers, so that what shares the caller or the first part is served on.

--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/quarantine/PromptQuarantineTest.kt
@@ -0,0 +1,169 @@
+package buckthornbay.core.quarantine
+
+import buckthornbay.core.load.PromptPart
+import buckthornbay.core.load.TokenDemand
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** Tests which prompt parts hosts blame for crashes of upstreams. */
+class PromptQuarantineTest {
+    private var nowMillis = 0L
+    private val quarantine = PromptQuarantine()
+
+    private fun demand(vararg parts: String) = TokenDemand(1_000, 100, (parts.toList() + "own").map { PromptPart(it, 300) })
+
+    /** Records a crash of a new upstream, [pendingMillis] after requests with [parts] were sent to it. */
+    private fun crash(vararg parts: String, pendingMillis: Long = 50, at: PromptQuarantine = quarantine) = at.recordCrash(
+        nowMillis,
+        "upstream-$nowMillis-${parts.joinToString("-")}",
+        parts.mapIndexed { position, part -> Suspect(part, position, nowMillis - pendingMillis) },
+    )
+
+    private fun exchange(from: PromptQuarantine, to: PromptQuarantine, delayMillis: Long = 20) {
+        val news = from.news(nowMillis)
+        nowMillis += delayMillis
+        to.merge(nowMillis, news)
+    }
+
+    @Test
+    fun aPartIsQuarantinedAfterThreeSuccessiveCrashes() {
+        repeat(3) {
+            assertNull(quarantine.quarantinedPart(demand("system", "bad")))
+            crash("system", "bad")
+            nowMillis += 400
+            quarantine.recordAnswered(nowMillis, "request-$it", demand("system", "good"))
+        }
+        assertEquals("bad", quarantine.quarantinedPart(demand("system", "bad")))
+        assertNull(quarantine.quarantinedPart(demand("system", "good")))
+    }
+
+    @Test
+    fun theOwnPartOfARequestIsNotBlamed() {
+        repeat(5) {
+            crash("own")
+            nowMillis += 400
+        }
+        assertNull(quarantine.quarantinedPart(TokenDemand(10, 10, listOf(PromptPart("own", 10)))))
+    }
+
+    @Test
+    fun upstreamsThatCrashTogetherBlameNoPart() {
+        repeat(8) {
+            crash("system", "topic-$it", pendingMillis = 2_000)
+            nowMillis += 100
+        }
+        assertEquals(0, quarantine.size)
+    }
+
+    @Test
+    fun aPartThatIsAnsweredBetweenCrashesIsNotBlamed() {
+        repeat(8) {
+            crash("system", "topic")
+            nowMillis += 400
+            quarantine.recordAnswered(nowMillis, "request-$it", demand("system", "topic"))
+            nowMillis += 400
+        }
+        assertEquals(0, quarantine.size)
+    }
+
+    @Test
+    fun aCrashThatOnePartExplainsIsNotCountedAgainstOthers() {
+        listOf("rare", "rare", "other", "rare").forEach { companion ->
+            crash("system", companion, "bad")
+            nowMillis += 400
+            quarantine.recordAnswered(nowMillis, "request-$nowMillis", demand("system", "good"))
+        }
+        assertNotNull(quarantine.quarantinedPart(demand("bad")))
+        assertNull(quarantine.quarantinedPart(demand("system", "rare")))
+    }
+
+    @Test
+    fun aWronglyBlamedPartIsReleasedWhenAnotherPartExplainsItsCrashes() {
+        repeat(3) {
+            crash("bad", "rare")
+            nowMillis += 400
+        }
+        assertNotNull(quarantine.quarantinedPart(demand("rare")))
+        crash("bad", "other")
+        assertNull(quarantine.quarantinedPart(demand("rare")))
+        assertNotNull(quarantine.quarantinedPart(demand("bad")))
+    }
+
+    @Test
+    fun crashesThatDifferentHostsSawAreCountedTogether() {
+        val hosts = List(4) { PromptQuarantine() }
+        repeat(3) { number ->
+            crash("bad", at = hosts[number])
+            exchange(hosts[number], hosts[3])
+            nowMillis += 400
+        }
+        assertNotNull(hosts[3].quarantinedPart(demand("bad")))
+        assertNull(hosts[0].quarantinedPart(demand("bad")))
+        exchange(hosts[3], hosts[0])
+        assertNotNull(hosts[0].quarantinedPart(demand("bad")))
+    }
+
+    @Test
+    fun aHostThatStartsLaterLearnsWhatIsQuarantined() {
+        repeat(3) {
+            crash("bad")
+            nowMillis += 400
+        }
+        nowMillis += 60_000
+        val restarted = PromptQuarantine()
+        exchange(quarantine, restarted)
+        assertNotNull(restarted.quarantinedPart(demand("bad")))
+    }
+
+    @Test
+    fun anAnswerAtAnotherHostReleasesAPart() {
+        val other = PromptQuarantine()
+        crash("slow")
+        nowMillis += 300
+        other.recordAnswered(nowMillis, "request", demand("slow"))
+        nowMillis += 300
+        repeat(2) {
+            crash("slow")
+            nowMillis += 300
+        }
+        assertNotNull(quarantine.quarantinedPart(demand("slow")))
+        exchange(quarantine, other)
+        exchange(other, quarantine)
+        assertNull(quarantine.quarantinedPart(demand("slow")))
+        assertNull(other.quarantinedPart(demand("slow")))
+    }
+
+    @Test
+    fun agesDoNotDriftWhileHostsRepeatEachOther() {
+        val other = PromptQuarantine()
+        quarantine.recordAnswered(nowMillis, "request", demand("part"))
+        nowMillis += 10
+        crash("part", pendingMillis = 5)
+        repeat(40) {
+            exchange(quarantine, other)
+            exchange(other, quarantine)
+            nowMillis += 60
+        }
+        val proofAgeMillis = quarantine.news(nowMillis).answered.single().ageMillis
+        assertEquals(nowMillis, proofAgeMillis)
+    }
+
+    @Test
+    fun aPartIsAcceptedAgainAfterTheHoldTime() {
+        repeat(3) {
+            crash("bad")
+            nowMillis += 400
+        }
+        val remainingMillis = quarantine.remainingMillis(nowMillis, "bad")
+        assertTrue(remainingMillis > 500_000)
+        nowMillis += remainingMillis
+        assertEquals(
+            listOf<QuarantineChange>(QuarantineChange.Released("bad", "the hold time is over")),
+            quarantine.expire(nowMillis),
+        )
+        assertNull(quarantine.quarantinedPart(demand("bad")))
+    }
+}
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -2,6 +2,7 @@
 
 import buckthornbay.core.load.LoadReport
 import buckthornbay.core.load.SendOutcome
+import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.request.FailureKind
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.CompositeByteBuf
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
 
 /** A complete response that is not an event stream. The receiver must release [body]. */
 internal class BufferedResponse(val status: HttpResponseStatus, val headers: HttpHeaders, val body: ByteBuf)
@@ -20,6 +22,9 @@
     /** Whether the request may be sent to another upstream after a failed attempt. */
     val mayRetry: Boolean
 
+    /** Tokens that the request asks an engine for; null for plain services. */
+    val demand: TokenDemand?
+
     /** Called before the first event of a stream, with the [status] and [headers] of the upstream. */
     fun streamStarted(attempt: Attempt, status: HttpResponseStatus, headers: HttpHeaders)
 
@@ -54,6 +59,8 @@
     private var streaming = false
     private var ended = false
     private var incompleteEventSinceMillis: Long? = null
+    private var firstEventAtMillis = 0L
+    private var proven = false
 
     /** Whether the request may be sent to another upstream when this attempt fails. */
     val mayRetry: Boolean get() = listener.mayRetry
@@ -95,7 +102,7 @@
         val toClose = connection
         connection = null
         toClose?.abort()
-        broken(reason)
+        failBroken(reason)
     }
 
     /** Returns whether bytes have been coming for [millis] milliseconds that complete neither a response head nor an event. */
@@ -160,6 +167,13 @@
     }
 
     override fun broken(reason: String) {
+        if (!ended && !proven) {
+            listener.demand?.let { context.access.crashWatch.connectionLost(upstream.entry, it, sentAtMillis) }
+        }
+        failBroken(reason)
+    }
+
+    private fun failBroken(reason: String) {
         connection = null
         val kind = if (streaming) FailureKind.BROKEN_IN_ANSWER else FailureKind.BROKEN_BEFORE_ANSWER
         fail(kind, SendOutcome.FAILED, reason)
@@ -172,12 +186,14 @@
         }
         incompleteEventSinceMillis = null
         if (!streaming) startStream()
+        if (context.clock.nowMillis() - firstEventAtMillis >= PROOF_MILLIS) recordProof()
         listener.eventReceived(this, event)
     }
 
     private fun startStream() {
         val head = checkNotNull(response) { "an event arrived before the response headers" }
         streaming = true
+        firstEventAtMillis = context.clock.nowMillis()
         recordLoad(head)
         listener.streamStarted(this, head.status(), head.headers())
     }
@@ -186,6 +202,7 @@
         if (!streaming) startStream()
         if (ended) return
         val incompleteEvent = framing?.takeIncompleteEvent()
+        if (hasOwnEnd()) recordProof()
         end(SendOutcome.ANSWERED)
         listener.streamEnded(this, incompleteEvent)
     }
@@ -206,6 +223,7 @@
             else -> {
                 val answer = BufferedResponse(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER)
                 body = null
+                if (hasOwnEnd() && status.code() < FIRST_SERVER_ERROR) recordProof()
                 end(if (status.code() >= FIRST_SERVER_ERROR) SendOutcome.FAILED else SendOutcome.ANSWERED)
                 listener.responseReceived(this, answer)
             }
@@ -224,6 +242,17 @@
             !headers.contains(HttpHeaderNames.CONTENT_ENCODING)
     }
 
+    /** Returns whether the response has a length or chunks, so that its end can't be confused with that of the connection. */
+    private fun hasOwnEnd(): Boolean =
+        response?.let { HttpUtil.isTransferEncodingChunked(it) || HttpUtil.isContentLengthSet(it) } == true
+
+    /** Records that the upstream survived the begin of this response. */
+    private fun recordProof() {
+        if (proven) return
+        proven = true
+        listener.demand?.let { context.access.crashWatch.answered(id, it) }
+    }
+
     private fun recordLoad(head: HttpResponse) {
         val report: LoadReport? = head.headers()[context.callerInterface.headers.load]?.let(context.callerInterface::loadReport)
         upstream.candidate.load.responseStarted(context.clock.nowMillis(), id, report)
@@ -250,6 +279,12 @@
         const val FIRST_SERVER_ERROR = 500
         const val MAX_BODY_COMPONENTS = 4_096
 
+        /**
+         * Time after the first event after which a crash is no longer attributed to the request, in milliseconds; an engine that
+         * a prompt crashes ends when it begins to answer.
+         */
+        const val PROOF_MILLIS = 200L
+
         /** Largest buffered response body, in bytes; as large as the largest request body by default. */
         const val MAX_BODY_BYTES = 4_194_304
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -8,12 +8,16 @@
     private val terms: RequestTerms,
     private val caller: CallerConnection,
 ) {
-    /** Refuses the request: states that it has not run and will not run, and when the caller may repeat it. */
-    fun refuse(reason: String) {
+    /**
+     * Refuses the request: states that it has not run and will not run, and when the caller may repeat it.
+     *
+     * @param retryAfterMillis time after which the cause of the refusal ends, in milliseconds; null if it depends on the load.
+     */
+    fun refuse(reason: String, retryAfterMillis: Long? = null) {
         val nowMillis = context.clock.nowMillis()
         val leftMillis = terms.callerDeadlineAtMillis - nowMillis
-        val retryAfterMillis = context.admission.policy.retryAfterMillis(terms.route, leftMillis)
-        val retryAfterSeconds = twoDecimals(retryAfterMillis / MILLIS_PER_SECOND)
+        val delayMillis = retryAfterMillis?.toDouble() ?: context.admission.policy.retryAfterMillis(terms.route, leftMillis)
+        val retryAfterSeconds = twoDecimals(delayMillis / MILLIS_PER_SECOND)
         terms.fingerprint?.let {
             context.admission.priorWaits.recordRefusal(nowMillis, it, nowMillis - terms.firstReceivedAtMillis)
         }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
@@ -48,6 +48,12 @@
         connect(address, onResult)
     }
 
+    /** Opens a connection to [address], which is pooled, and passes to [onResult] whether it was accepted. */
+    fun checkReachable(address: String, onResult: (Boolean) -> Unit) = connect(address) { result ->
+        if (result is ConnectResult.Open) result.connection.release()
+        onResult(result is ConnectResult.Open)
+    }
+
     /** Closes the connections that have been idle for too long. */
     fun closeStale() {
         val nowMillis = clock.nowMillis()
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -0,0 +1,95 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.core.Clock
+import buckthornbay.core.load.TokenDemand
+import buckthornbay.core.quarantine.PromptQuarantine
+import buckthornbay.core.quarantine.QuarantineChange
+import buckthornbay.core.quarantine.QuarantineNews
+import buckthornbay.core.quarantine.Suspect
+import buckthornbay.core.registry.UpstreamEntry
+import io.netty.channel.EventLoop
+import java.util.concurrent.TimeUnit
+
+/**
+ * Recognizes crashes of upstreams and keeps the quarantine of the prompt parts that cause them.
+ *
+ * A lost connection alone is no sign of a crash: upstreams reset single connections, and idle connections time out. An upstream
+ * has crashed if it accepts no new connection afterwards.
+ */
+internal class CrashWatch(
+    private val quarantine: PromptQuarantine,
+    private val connections: ConnectionPool,
+    private val eventLoop: EventLoop,
+    private val clock: Clock,
+    private val log: DecisionLog,
+    private val metrics: GatewayMetrics,
+) {
+    /** Requests that were lost at an upstream while a check of the upstream is pending. */
+    private val lostSuspects = HashMap<UpstreamEntry, MutableList<Suspect>>()
+
+    /** Called when parts are quarantined. */
+    var onQuarantined: () -> Unit = {}
+
+    /** Called after this host recognized a crash, which peers should learn of at once. */
+    var onCrash: () -> Unit = {}
+
+    /** Returns the first part of [demand] that is quarantined, or null if there is none. */
+    fun quarantinedPart(demand: TokenDemand): String? = quarantine.quarantinedPart(demand)
+
+    /** Returns the time until [part] is accepted again, in milliseconds. */
+    fun remainingMillis(part: String): Long = quarantine.remainingMillis(clock.nowMillis(), part)
+
+    /** Records that [upstream] closed the connection of a request with [demand], sent at [sentAtMillis], before it answered. */
+    fun connectionLost(upstream: UpstreamEntry, demand: TokenDemand, sentAtMillis: Long) {
+        val suspects = demand.sharedParts.mapIndexed { position, part -> Suspect(part.id, position, sentAtMillis) }
+        if (suspects.isEmpty()) return
+        val pending = lostSuspects[upstream]
+        if (pending != null) {
+            pending += suspects
+            return
+        }
+        lostSuspects[upstream] = suspects.toMutableList()
+        eventLoop.schedule({ check(upstream) }, CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Records that request [id] with [demand] is being answered. */
+    fun answered(id: String, demand: TokenDemand) = apply(quarantine.recordAnswered(clock.nowMillis(), id, demand))
+
+    fun news(): QuarantineNews = quarantine.news(clock.nowMillis())
+
+    fun merge(news: QuarantineNews) = apply(quarantine.merge(clock.nowMillis(), news))
+
+    fun expire() = apply(quarantine.expire(clock.nowMillis()))
+
+    private fun check(upstream: UpstreamEntry) = connections.checkReachable(upstream.address) { reachable ->
+        val suspects = lostSuspects.remove(upstream).orEmpty()
+        if (!reachable) recordCrash(upstream, suspects)
+    }
+
+    private fun recordCrash(upstream: UpstreamEntry, suspects: List<Suspect>) {
+        val parts = suspects.map { it.part }.distinct()
+        log.stateChange("event=upstream_crashed upstream=${upstream.id} unanswered_parts=${parts.joinToString(",")}")
+        metrics.upstreamCrashed()
+        apply(quarantine.recordCrash(clock.nowMillis(), "${upstream.id}@${upstream.startedAtMillis}", suspects))
+        onCrash()
+    }
+
+    private fun apply(changes: List<QuarantineChange>) {
+        if (changes.isEmpty()) return
+        for (change in changes) {
+            when (change) {
+                is QuarantineChange.Quarantined ->
+                    log.warning("event=part_quarantined part=${change.part} crashes=${change.crashes} parts=${quarantine.size}")
+                is QuarantineChange.Released ->
+                    log.stateChange("event=part_released part=${change.part} reason=\"${change.reason}\"")
+            }
+        }
+        metrics.quarantinedParts(quarantine.size)
+        if (changes.any { it is QuarantineChange.Quarantined }) onQuarantined()
+    }
+
+    private companion object {
+        /** Time between a lost connection and the check, in milliseconds; a process that ends closes its sockets one by one. */
+        const val CHECK_DELAY_MILLIS = 20L
+    }
+}
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -10,7 +10,12 @@
 import io.netty.channel.EventLoop
 
 /** The components that requests use to reach upstreams. */
-internal class UpstreamAccess(val upstreams: UpstreamTable, val connections: ConnectionPool, val retryBudgets: RetryBudgets)
+internal class UpstreamAccess(
+    val upstreams: UpstreamTable,
+    val connections: ConnectionPool,
+    val retryBudgets: RetryBudgets,
+    val crashWatch: CrashWatch,
+)
 
 /** The components that request handlers share. All of them are confined to one event loop. */
 internal class GatewayContext(
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -8,6 +8,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import java.time.Duration
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Counters and latency histograms of the gateway. */
 internal class GatewayMetrics {
@@ -20,8 +21,17 @@
         registry.counter("buckthornbay.upstream.attempts.failed", "kind", kind.name.lowercase())
     }
 
+    private val crashes = registry.counter("buckthornbay.upstream.crashes")
+    private val quarantinedParts = AtomicInteger().also { registry.gauge("buckthornbay.quarantined.parts", it) }
+
     fun connectionOpened() = connections.increment()
 
+    /** Records that an upstream crashed while it processed requests of this host. */
+    fun upstreamCrashed() = crashes.increment()
+
+    /** Records the number of quarantined prompt parts. */
+    fun quarantinedParts(count: Int) = quarantinedParts.set(count)
+
     /** Records a failed attempt at an upstream. */
     fun attemptFailed(kind: FailureKind) = failedAttempts.getValue(kind).increment()
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -15,6 +15,7 @@
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.MembershipSettings
 import buckthornbay.core.membership.StoreWatcherSelection
+import buckthornbay.core.quarantine.PromptQuarantine
 import buckthornbay.core.registry.UpstreamRegistry
 import buckthornbay.core.wire.CallerInterface
 import buckthornbay.core.wire.FleetFormat
@@ -79,8 +80,18 @@
         transport,
         log,
     )
-    private val peers =
-        PeerExchange(membership, accounts, fleetView, transport, log, watcherSelection, accountsExchange, scope)
+    private val metrics = GatewayMetrics()
+    private val crashWatch = CrashWatch(PromptQuarantine(), connections, eventLoop, clock, log, metrics)
+    private val peers = PeerExchange(
+        membership,
+        SharedState(accounts, crashWatch),
+        fleetView,
+        transport,
+        log,
+        watcherSelection,
+        accountsExchange,
+        scope,
+    )
     private val store = deployment.store(transport, settings.store.address)
     private val watcher =
         StoreWatcher(
@@ -95,12 +106,11 @@
         settings.bounds.run { RetrySettings(retryRatio, (retryWindowSeconds * MILLIS_PER_SECOND).toLong(), retrySlack) },
         clock,
     ) { membership.live().size }
-    private val metrics = GatewayMetrics()
     private val context: GatewayContext = GatewayContext(
         clock,
         eventLoop,
         deployment.callerInterface,
-        UpstreamAccess(upstreams, connections, retryBudgets),
+        UpstreamAccess(upstreams, connections, retryBudgets, crashWatch),
         Admission(AdmissionPolicy(random), shares, CallerRetryTracker()),
         accounts,
         log,
@@ -120,6 +130,8 @@
             Placement(settings.region),
             clock,
         )
+        crashWatch.onCrash = peers::announce
+        crashWatch.onQuarantined = ::endQuarantinedRequests
         listeners.listen(settings.listen.callers, callers)
         settings.listen.run { listOfNotNull(readiness, control, addresses, metrics) }.distinct()
             .forEach { listeners.listen(it, hostHandler) }
@@ -185,6 +197,7 @@
             (callers.connections + hostHandler.connections).forEach { it.closeIfTimedOut(nowMillis) }
             connections.closeStale()
             if (registry.expire(nowMillis).isNotEmpty()) fleetViewChanged()
+            crashWatch.expire()
             endStalledAttempts()
             moveFromSilentUpstreams(nowMillis)
             context.dispatcher.placeAll()
@@ -208,6 +221,11 @@
         }
     }
 
+    private fun endQuarantinedRequests() {
+        context.requests.toList().forEach { it.endIfQuarantined() }
+        peers.announce()
+    }
+
     private fun fleetViewChanged() {
         upstreams.routes = fleetView.routes
         shares.tokensPerSecond = fleetView.routes?.configuration?.tokensPerSecond
--- a/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
@@ -93,6 +93,12 @@
         lastWrite = channel.writeAndFlush(request)
     }
 
+    /** Makes the connection available to other requests without having sent one. */
+    fun release() {
+        idleSinceMillis = clock.nowMillis()
+        onIdle(this)
+    }
+
     /** Closes the connection without a further call of the listener. */
     fun abort() {
         listener = null
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -8,6 +8,7 @@
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.OutgoingHeartbeat
 import buckthornbay.core.membership.StoreWatcherSelection
+import buckthornbay.core.quarantine.QuarantineNews
 import buckthornbay.protocol.Heartbeat
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.Member
@@ -37,6 +38,7 @@
  * @property requestedWork work that callers have requested from the sender since its process began, in tokens by workspace.
  * @property waiting workspaces that have requests queued at the sender.
  * @property storeAgeMillis time since the last contact of any host with the store, as far as the sender knows, in milliseconds.
+ * @property quarantine recent crashes of upstreams and the quarantined prompt parts, as far as the sender knows.
  */
 @Serializable
 internal data class GossipMessage(
@@ -46,8 +48,12 @@
     @SerialName("a") val requestedWork: Map<WorkspaceId, Long>,
     @SerialName("w") val waiting: Set<WorkspaceId>,
     @SerialName("s") val storeAgeMillis: Long,
+    @SerialName("q") val quarantine: QuarantineNews = QuarantineNews(),
 )
 
+/** The state of this host that it exchanges with its peers. */
+internal class SharedState(val accounts: WorkspaceAccounts, val crashWatch: CrashWatch)
+
 /** Store contents that are newer than those of the requesting peer; null where the peer is up to date. */
 @Serializable
 internal data class PeerSnapshot(
@@ -56,13 +62,13 @@
 )
 
 /**
- * The gossip exchange with peers: membership, versions of configuration and registrations, and workspace accounts.
+ * The gossip exchange with peers: membership, versions of configuration and registrations, workspace accounts and quarantine.
  *
  * A host that learns of a newer version from a peer fetches a snapshot from that peer.
  */
 internal class PeerExchange(
     private val membership: Membership,
-    private val accounts: WorkspaceAccounts,
+    private val shared: SharedState,
     private val fleetView: FleetView,
     private val transport: HttpTransport,
     private val log: DecisionLog,
@@ -70,6 +76,7 @@
     private val accountsExchange: AccountsExchange,
     private val scope: CoroutineScope,
 ) {
+    private val accounts: WorkspaceAccounts get() = shared.accounts
     private val clock: Clock get() = accounts.clock
 
     private var fetching = false
@@ -123,6 +130,7 @@
         val sender = message.heartbeat.sender
         if (!accountsExchange.isNeeded) mergeAccounts(nowMillis, sender, message)
         watcherSelection.recordPeerContact(nowMillis, message.storeAgeMillis)
+        shared.crashWatch.merge(message.quarantine)
         catchUp(sender.url, message)
         val reply = membership.receive(nowMillis, message.heartbeat, report()) ?: return ""
         return WireJson.encodeToString(GossipMessage.serializer(), messageWith(reply.heartbeat))
@@ -198,6 +206,7 @@
         if (accountsExchange.isNeeded) emptyMap() else accounts.requestedWork.totals().toWholeTokens(),
         if (accountsExchange.isNeeded) emptySet() else accounts.waiting(),
         watcherSelection.contactAgeMillis(clock.nowMillis()),
+        shared.crashWatch.news(),
     )
 
     private fun report() = HostReport(fleetView.configurationVersion, loadPermille = 0)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -77,7 +77,30 @@
     fun start() {
         val leftMillis = terms.deadlineAtMillis - context.clock.nowMillis()
         deadlineTimer = context.eventLoop.schedule(::deadlineReached, leftMillis.coerceAtLeast(0), TimeUnit.MILLISECONDS)
-        queue()
+        if (!endIfQuarantined()) queue()
+    }
+
+    /**
+     * Ends the request if it has a quarantined prompt part and its response has not begun; returns whether it did.
+     *
+     * An attempt in progress is cancelled, so that the upstream drops the request before it crashes.
+     */
+    fun endIfQuarantined(): Boolean {
+        val part = terms.demand?.let(context.access.crashWatch::quarantinedPart) ?: return false
+        if (ended || responseStarted) return false
+        val reason = "upstreams crash under prompt part $part"
+        val sending = attempt
+        if (sending == null) {
+            context.dispatcher.withdraw(this)
+            val end = (lifecycle.refused() as FailureAction.End).end
+            endWith(end, reason, context.access.crashWatch.remainingMillis(part))
+        } else {
+            sending.cancel()
+            attempt = null
+            lifecycle.failed(FailureKind.CALLER_LEFT)
+            endWith(RequestEnd.FAILED, reason)
+        }
+        return true
     }
 
     override fun queueUntilMillis(): Long = if (triedUpstreams.isEmpty()) {
@@ -251,9 +274,9 @@
         caller.fail(HttpResponseStatus.GATEWAY_TIMEOUT, "no answer came within the time limit")
     }
 
-    private fun endWith(end: RequestEnd, reason: String) = endUnanswered(reason) {
+    private fun endWith(end: RequestEnd, reason: String, retryAfterMillis: Long? = null) = endUnanswered(reason) {
         if (end == RequestEnd.NOT_RUN) {
-            reply.refuse(reason)
+            reply.refuse(reason, retryAfterMillis)
         } else {
             caller.fail(HttpResponseStatus.BAD_GATEWAY, "the upstream failed: $reason")
         }
