Don't end a stream as complete whose connection closes before its first event

A stream may come with neither a length nor chunks and end with its connection. If an engine crashed before the first event of such a stream, its caller got an empty stream that ended as complete, because the end of the connection was taken for the end of the response. The crash would also have counted as a proof that the prompt is sound.

UnframedResponseTest.aStreamWhoseConnectionEndsBeforeItsFirstEventIsNotComplete failed before: the caller got no event and a complete response. Such an attempt is now broken, so that it is repeated where the route allows it and answered with 502 otherwise. The tests for streams and bodies that end regularly or are reset passed before as well.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -199,6 +199,7 @@
     }
 
     private fun completeStream() {
+        if (!streaming && !hasOwnEnd()) return broken("the connection was closed before the first event")
         if (!streaming) startStream()
         if (ended) return
         val incompleteEvent = framing?.takeIncompleteEvent()
--- /dev/null
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
@@ -0,0 +1,96 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.testkit.platform.CallerAnswer
+import buckthornbay.testkit.platform.ScriptedExchange
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Tests responses that have neither a length nor chunks and end with their connection. */
+class UnframedResponseTest {
+    private val sixEvents = (1..6).joinToString("") { event(it) }
+
+    private fun event(number: Int) = "id: $number\ndata: $number\n\n"
+
+    private fun ScriptedExchange.beginUnframed(more: String = "Content-Type: text/event-stream\r\n") =
+        write("HTTP/1.1 200 OK\r\n${requiredHeaders()}$more\r\n")
+
+    private fun ScriptedExchange.events(numbers: IntRange) = numbers.forEach { write(event(it)) }
+
+    /** Streams the events from 1 to 6, or those after the last one that the router has. */
+    private fun ScriptedExchange.wholeStream() {
+        beginUnframed()
+        events((request.header("Last-Event-Id")?.toInt() ?: 0) + 1..6)
+        close()
+    }
+
+    /** Plays [first] for the first request at any upstream, and a whole stream for the others; returns the caller's answer. */
+    private fun play(path: String = "/stream/x", first: ScriptedExchange.() -> Unit): CallerAnswer {
+        var isFirst = true
+        var answer: CallerAnswer? = null
+        GatewayFixture.run {
+            repeat(2) { number ->
+                upstream("models-$number", "models") { exchange ->
+                    if (isFirst) {
+                        isFirst = false
+                        exchange.first()
+                    } else {
+                        exchange.wholeStream()
+                    }
+                }
+            }
+            awaitReady()
+            answer = call(request(path, method = "POST", body = "a"))
+        }
+        return checkNotNull(answer)
+    }
+
+    private fun assertWhole(answer: CallerAnswer) {
+        assertTrue(answer.complete)
+        assertEquals(sixEvents, answer.body)
+    }
+
+    @Test
+    fun aStreamThatEndsWithItsConnectionIsComplete() {
+        assertWhole(play { wholeStream() })
+        assertWhole(play("/once/x") { wholeStream() })
+    }
+
+    @Test
+    fun aBodyThatEndsWithItsConnectionIsComplete() = GatewayFixture.run {
+        upstream("plain-1", "plain") { exchange ->
+            exchange.beginUnframed(more = "")
+            exchange.write("ok")
+            exchange.close()
+        }
+        awaitReady()
+        val answer = call(request("/charge/x", method = "POST", body = "a"))
+        assertEquals(listOf(200, "ok", true), listOf(answer.status, answer.body, answer.complete))
+    }
+
+    @Test
+    fun aStreamThatIsResetBetweenEventsIsResumed() = assertWhole(
+        play {
+            beginUnframed()
+            events(1..3)
+            Thread.sleep(50)
+            reset()
+        },
+    )
+
+    /** An engine that crashes closes such a connection just like one that has finished. */
+    @Test
+    fun aStreamWhoseConnectionEndsBeforeItsFirstEventIsNotComplete() {
+        assertWhole(
+            play {
+                beginUnframed()
+                close()
+            },
+        )
+        val once = play("/once/x") {
+            beginUnframed()
+            close()
+        }
+        assertEquals(502, once.status)
+    }
+}
