Treat a stream that ends within an event as broken off

The bytes after the last complete event were forwarded and the stream was ended as complete, for streams that end with their connection and for chunked ones. A caller took a stream that its engine had broken off for a whole one.

UnframedResponseTest.aStreamThatEndsWithinAnEventIsResumedInsteadOfEndedAsComplete and aStreamThatCannotBeResumedAndEndsWithinAnEventIsCutAfterItsLastEvent failed before. Such a stream is now resumed at another upstream, or cut after its last complete event. Blank lines at the end are no event and are still forwarded.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -34,8 +34,8 @@
     /** Called after all events of one read from the socket. */
     fun eventBatchComplete(attempt: Attempt)
 
-    /** Called when the upstream ended the stream regularly; [incompleteEvent] holds the bytes after the last complete event. */
-    fun streamEnded(attempt: Attempt, incompleteEvent: ByteBuf?)
+    /** Called when the upstream ended the stream regularly; [trailingLines] holds blank lines after the last event. */
+    fun streamEnded(attempt: Attempt, trailingLines: ByteBuf?)
 
     /** Called when a response that is not an event stream arrived completely. */
     fun responseReceived(attempt: Attempt, answer: BufferedResponse)
@@ -131,7 +131,7 @@
 
     private fun isEventStream(response: HttpResponse): Boolean {
         val type = response.headers()[HttpHeaderNames.CONTENT_TYPE]
-        val isEvents = type == null || type.startsWith(EVENT_STREAM)
+        val isEvents = type?.startsWith(EVENT_STREAM) ?: !HttpUtil.isContentLengthSet(response)
         return isEvents && response.status() == HttpResponseStatus.OK && isFromUpstream(response)
     }
 
@@ -200,12 +200,13 @@
 
     private fun completeStream() {
         if (!streaming && !hasOwnEnd()) return broken("the connection was closed before the first event")
+        if (framing?.endsWithinEvent == true) return broken("the stream ended within an event")
         if (!streaming) startStream()
         if (ended) return
-        val incompleteEvent = framing?.takeIncompleteEvent()
         if (hasOwnEnd()) recordProof()
+        val trailingLines = framing?.takeRest()
         end(SendOutcome.ANSWERED)
-        listener.streamEnded(this, incompleteEvent)
+        listener.streamEnded(this, trailingLines)
     }
 
     private fun completeBuffered() {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/EventStreamFraming.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/EventStreamFraming.kt
@@ -32,8 +32,12 @@
         if (scannedBytes == 0) release() else all.discardSomeReadBytes()
     }
 
-    /** Removes and returns the bytes of an incomplete last event, or null if there are none. */
-    fun takeIncompleteEvent(): ByteBuf? = buffer?.takeIf { it.isReadable }?.also { buffer = null }
+    /** Whether the bytes after the last complete event belong to an event, not just to blank lines. */
+    val endsWithinEvent: Boolean
+        get() = buffer?.let { bytes -> bytes.forEachByte { it == LF || it == CR } >= 0 } == true
+
+    /** Removes and returns the bytes after the last complete event, or null if there are none. */
+    fun takeRest(): ByteBuf? = buffer?.takeIf { it.isReadable }?.also { buffer = null }
 
     /** Releases the buffer and discards an incomplete event. */
     fun release() {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -186,9 +186,9 @@
         route.longestPauseMillis?.let { attempt.upstream.candidate.load.gapObserved(nowMillis, pauseMillis, it) }
     }
 
-    override fun streamEnded(attempt: Attempt, incompleteEvent: ByteBuf?) {
+    override fun streamEnded(attempt: Attempt, trailingLines: ByteBuf?) {
         this.attempt = null
-        incompleteEvent?.let(caller::writeChunk)
+        trailingLines?.let(caller::writeChunk)
         lifecycle.completed()
         finish("answered")
         caller.endStream()
--- a/router/src/test/kotlin/buckthornbay/router/gateway/EventStreamFramingTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/EventStreamFramingTest.kt
@@ -33,7 +33,7 @@
         var count = 0
         framing.feed(Unpooled.copiedBuffer("id: 1\ndata: a\n\nid: 2\nda", Charsets.UTF_8)) { count++ }
         assertEquals(1, count)
-        assertEquals("id: 2\nda", framing.takeIncompleteEvent()?.toString(Charsets.UTF_8))
+        assertEquals("id: 2\nda", framing.takeRest()?.toString(Charsets.UTF_8))
     }
 
     @Test
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
@@ -4,9 +4,10 @@
 import buckthornbay.testkit.platform.ScriptedExchange
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
-/** Tests responses that have neither a length nor chunks and end with their connection. */
+/** Tests responses that have neither a length nor chunks and end with their connection, and streams that end within an event. */
 class UnframedResponseTest {
     private val sixEvents = (1..6).joinToString("") { event(it) }
 
@@ -93,4 +94,49 @@
         }
         assertEquals(502, once.status)
     }
+
+    @Test
+    fun aStreamThatEndsWithinAnEventIsResumedInsteadOfEndedAsComplete() {
+        assertWhole(
+            play {
+                beginUnframed()
+                events(1..3)
+                write("id: 4\nda")
+                close()
+            },
+        )
+        assertWhole(
+            play {
+                write(
+                    "HTTP/1.1 200 OK\r\n${requiredHeaders()}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                )
+                val text = event(1) + "id: 2\nda"
+                write("${text.length.toString(16)}\r\n$text\r\n0\r\n\r\n")
+            },
+        )
+    }
+
+    @Test
+    fun blankLinesAfterTheLastEventAreNoEvent() {
+        val answer = play {
+            beginUnframed()
+            events(1..6)
+            write("\r\n")
+            close()
+        }
+        assertTrue(answer.complete)
+        assertEquals(sixEvents + "\r\n", answer.body)
+    }
+
+    @Test
+    fun aStreamThatCannotBeResumedAndEndsWithinAnEventIsCutAfterItsLastEvent() {
+        val answer = play("/once/x") {
+            beginUnframed()
+            events(1..3)
+            write("id: 4\nda")
+            close()
+        }
+        assertFalse(answer.complete)
+        assertEquals((1..3).joinToString("") { event(it) }, answer.body)
+    }
 }
