--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformEngineServer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformEngineServer.kt
@@ -45,6 +45,10 @@
     @Volatile
     public var silent: Boolean = false
 
+    /** Requests per second that the engine's responses state as its limit; null for none. */
+    @Volatile
+    public var statedLimit: Double? = null
+
     /** Slowdown of prefill and of event intervals; 1.0 is normal speed. */
     @Volatile
     public var slowdown: Double = 1.0
@@ -211,6 +215,7 @@
     private fun stream(exchange: ScriptedExchange) {
         val first = (exchange.request.header("Last-Event-Id")?.toInt() ?: 0) + 1
         exchange.write("HTTP/1.1 200 OK\r\n${exchange.requiredHeaders()}X-Buckthornbay-Server-Load: ${loadReport()}\r\n")
+        faults.statedLimit?.let { exchange.write("Server-Limit: $it\r\n") }
         exchange.write("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
         for (event in first..behavior.events) {
             val text = "id: $event\ndata: $event\n\n"
