--- a/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
@@ -13,14 +13,14 @@
 
     private fun event(number: Int) = "id: $number\ndata: $number\n\n"
 
-    private fun ScriptedExchange.beginUnframed(more: String = "Content-Type: text/event-stream\r\n") =
+    private fun ScriptedExchange.beginResponse(more: String = "Content-Type: text/event-stream\r\n") =
         write("HTTP/1.1 200 OK\r\n${requiredHeaders()}$more\r\n")
 
     private fun ScriptedExchange.events(numbers: IntRange) = numbers.forEach { write(event(it)) }
 
     /** Streams the events from 1 to 6, or those after the last one that the router has. */
     private fun ScriptedExchange.wholeStream() {
-        beginUnframed()
+        beginResponse()
         events((request.header("Last-Event-Id")?.toInt() ?: 0) + 1..6)
         close()
     }
@@ -60,7 +60,7 @@
     @Test
     fun aBodyThatEndsWithItsConnectionIsComplete() = GatewayFixture.run {
         upstream("plain-1", "plain") { exchange ->
-            exchange.beginUnframed(more = "")
+            exchange.beginResponse(more = "")
             exchange.write("ok")
             exchange.close()
         }
@@ -72,7 +72,7 @@
     @Test
     fun aStreamThatIsResetBetweenEventsIsResumed() = assertWhole(
         play {
-            beginUnframed()
+            beginResponse()
             events(1..3)
             Thread.sleep(50)
             reset()
@@ -84,12 +84,12 @@
     fun aStreamWhoseConnectionEndsBeforeItsFirstEventIsNotComplete() {
         assertWhole(
             play {
-                beginUnframed()
+                beginResponse()
                 close()
             },
         )
         val once = play("/once/x") {
-            beginUnframed()
+            beginResponse()
             close()
         }
         assertEquals(502, once.status)
@@ -99,7 +99,7 @@
     fun aStreamThatEndsWithinAnEventIsResumedInsteadOfEndedAsComplete() {
         assertWhole(
             play {
-                beginUnframed()
+                beginResponse()
                 events(1..3)
                 write("id: 4\nda")
                 close()
@@ -119,7 +119,7 @@
     @Test
     fun blankLinesAfterTheLastEventAreNoEvent() {
         val answer = play {
-            beginUnframed()
+            beginResponse()
             events(1..6)
             write("\r\n")
             close()
@@ -131,7 +131,7 @@
     @Test
     fun aStreamThatCannotBeResumedAndEndsWithinAnEventIsCutAfterItsLastEvent() {
         val answer = play("/once/x") {
-            beginUnframed()
+            beginResponse()
             events(1..3)
             write("id: 4\nda")
             close()
