Keep to the request rate limits that upstreams state, all hosts together

Cause: no host read the limit. The rate that each host learns from waits and pauses settles above it.

With the limit alone, hosts would each use the whole of it, or one request each at any time; RateLimitTest plays 1 to 390 hosts with even and uneven demand.

Hosts gossip the limits and each keeps to its part by a token bucket: by demand, or, where parts would be less than half a request per second, by as few hosts as can have that much. Requests go to upstreams that have room instead of waiting.

--- /dev/null
+++ b/core/src/main/kotlin/buckthornbay/core/load/StatedRateLimits.kt
@@ -0,0 +1,94 @@
+package buckthornbay.core.load
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * What a host tells its peers about the limit that an upstream states.
+ *
+ * @property upstream identity of the upstream's incarnation.
+ * @property perSecond requests per second that the upstream takes from all hosts together; null if it states no limit any more.
+ * @property statement identity of the statement: the id of the request in whose response it came.
+ * @property ageMillis time since the statement, in milliseconds.
+ */
+@Serializable
+public data class RateLimitNews(
+    @SerialName("u") public val upstream: String,
+    @SerialName("l") public val perSecond: Double? = null,
+    @SerialName("i") public val statement: String,
+    @SerialName("t") public val ageMillis: Long,
+)
+
+/** A change of the limit that [upstream] states to [perSecond] requests per second; null if it states none any more. */
+public data class RateLimitChange(public val upstream: String, public val perSecond: Double?)
+
+/**
+ * The request rate limits that upstreams state in their responses, as known to this host.
+ *
+ * A limit holds until a later response of the same incarnation states another one or none. The latest statement wins, at
+ * whichever host it arrived.
+ */
+public class StatedRateLimits(private val settings: StatedRateLimitSettings = StatedRateLimitSettings()) {
+    private class Statement(val id: String, val perSecond: Double?, val atMillis: Long, val changedAtMillis: Long)
+
+    private val statements = LinkedHashMap<String, Statement>()
+
+    /** Number of upstreams that state a limit. */
+    public val size: Int get() = statements.values.count { it.perSecond != null }
+
+    /** Returns the limit of [upstream] for all hosts together, in requests per second; null if it states none. */
+    public fun limitOf(upstream: String): Double? = statements[upstream]?.perSecond
+
+    /** Records that the response to request [id] states the limit [perSecond], null for none, and returns the change, if any. */
+    public fun record(nowMillis: Long, upstream: String, perSecond: Double?, id: String): RateLimitChange? =
+        adopt(nowMillis, upstream, Statement(id, perSecond, nowMillis, nowMillis))
+
+    /** Returns what a peer needs to know: limits in force, the latest first, and those that ended recently. */
+    public fun news(nowMillis: Long): List<RateLimitNews> = statements.entries
+        .filter { (_, it) -> it.perSecond != null || nowMillis - it.changedAtMillis <= settings.relayMillis }
+        .sortedByDescending { (_, it) -> it.changedAtMillis }
+        .take(settings.maxNews)
+        .map { (upstream, it) -> RateLimitNews(upstream, it.perSecond, it.id, nowMillis - it.atMillis) }
+
+    /** Merges the [news] of a peer and returns the changes. */
+    public fun merge(nowMillis: Long, news: List<RateLimitNews>): List<RateLimitChange> = news.mapNotNull {
+        adopt(nowMillis, it.upstream, Statement(it.statement, it.perSecond, nowMillis - it.ageMillis, nowMillis))
+    }
+
+    /** Forgets the upstreams that are not among [upstreams], the registered ones. */
+    public fun retain(upstreams: Set<String>) {
+        statements.keys.retainAll(upstreams)
+    }
+
+    private fun adopt(nowMillis: Long, upstream: String, statement: Statement): RateLimitChange? {
+        val known = statements[upstream]
+        if (known == null && statement.perSecond == null) return null
+        if (known != null && !supersedes(statement, known)) return null
+        val changed = known?.perSecond != statement.perSecond
+        val changedAtMillis = if (changed || known == null) nowMillis else known.changedAtMillis
+        statements[upstream] = Statement(statement.id, statement.perSecond, statement.atMillis, changedAtMillis)
+        return if (changed) RateLimitChange(upstream, statement.perSecond) else null
+    }
+
+    /** A response without a limit may have been sent before the one that stated it and have arrived later, at another host. */
+    private fun supersedes(statement: Statement, known: Statement): Boolean {
+        val endsLimit = statement.perSecond == null && known.perSecond != null
+        val minDelayMillis = if (endsLimit) settings.reorderMillis else 0
+        return statement.id != known.id && statement.atMillis >= known.atMillis + minDelayMillis
+    }
+}
+
+/**
+ * Constants of [StatedRateLimits].
+ *
+ * @property relayMillis how long the end of a limit is passed on to peers, in milliseconds; gossip reaches all hosts within two
+ * seconds.
+ * @property maxNews maximum number of upstreams in a message, which bounds its size.
+ * @property reorderMillis time within which responses of one upstream may arrive out of order at different hosts, in
+ * milliseconds: several times the latency between regions.
+ */
+public data class StatedRateLimitSettings(
+    public val relayMillis: Long = 10_000,
+    public val maxNews: Int = 32,
+    public val reorderMillis: Long = 100,
+)
--- a/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
@@ -24,6 +24,9 @@
     public val startedAtMillis: Long?,
     public val sequence: Long?,
 ) {
+    /** Identity of this incarnation in messages between hosts. */
+    public val incarnation: String = "$id@$startedAtMillis"
+
     /** Returns whether this registration was written before [other] and therefore must not replace it. */
     public fun isOlderThan(other: UpstreamEntry): Boolean {
         val startOrder = compareValues(startedAtMillis, other.startedAtMillis)
--- a/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
+++ b/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
@@ -13,6 +13,7 @@
  * @property workspace workspace of the request.
  * @property expectedUpstream the only upstream that may run the request.
  * @property load load reported by an upstream.
+ * @property requestRateLimit requests per second that an upstream takes from all hosts together.
  * @property notRun marks a response of an upstream that did not run the request.
  * @property tokenDemand numbers of prompt and output tokens.
  * @property promptParts shared prefixes of the prompt.
@@ -28,6 +29,7 @@
     public val workspace: String,
     public val expectedUpstream: String,
     public val load: String,
+    public val requestRateLimit: String,
     public val notRun: String,
     public val tokenDemand: String,
     public val promptParts: String,
@@ -63,4 +65,7 @@
 
     /** Decodes the load reported by an upstream; returns null if it is malformed. */
     public fun loadReport(value: String): LoadReport?
+
+    /** Decodes the request rate limit that an upstream states, in requests per second; returns null if it is malformed. */
+    public fun requestRateLimit(value: String): Double?
 }
--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/load/RateLimitTest.kt
@@ -0,0 +1,117 @@
+package buckthornbay.core.load
+
+import buckthornbay.protocol.HostId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** Tests the request rate limits that upstreams state for all hosts together. */
+class RateLimitTest {
+    private val limits = StatedRateLimits()
+
+    /** Hosts that send to one upstream whenever they may; [fractions] are their parts of the demand. */
+    private class Senders(private val limit: Double, private val fractions: List<Double>) {
+        private val hosts = fractions.indices.map { HostId("host-$it") }
+        private val loads = hosts.mapIndexed { index, host ->
+            val share = HostRateShare(host, { hosts }, { fractions[index] })
+            RateLimitedLoad(EngineLoad { fractions[index] }) { nowMillis -> share.of(nowMillis, "engine", limit) }
+        }
+        private var sequence = 0
+
+        /** Returns the times at which requests are sent within [seconds]. */
+        fun play(seconds: Int): List<Long> {
+            val sent = ArrayList<Long>()
+            for (nowMillis in 0L until seconds * 1_000L step 10) {
+                for (load in loads.filter { it.hasRoom(nowMillis, 16.0) }) {
+                    val id = "request-${sequence++}"
+                    load.sent(nowMillis, id, 16.0)
+                    load.responseStarted(nowMillis, id, null)
+                    load.ended(nowMillis, id, SendOutcome.ANSWERED)
+                    sent += nowMillis
+                }
+            }
+            return sent
+        }
+    }
+
+    private fun assertLimitHolds(limit: Double, fractions: List<Double>) {
+        val sent = Senders(limit, fractions).play(seconds = 40)
+        val busiest = sent.maxOf { from -> sent.count { it in from until from + 4_000 } }
+        val description = "limit $limit, ${fractions.size} hosts: $busiest requests in 4 s, ${sent.size} in 40 s"
+        assertTrue(busiest <= 1.5 * 4 * limit + 5, description)
+        assertTrue(sent.size >= 0.75 * 40 * limit, description)
+    }
+
+    @Test
+    fun hostsTogetherExceedTheLimitOfAnUpstream() {
+        for (limit in listOf(1.5, 2.8, 7.9, 20.0)) {
+            for (hosts in listOf(1, 7, 9, 67, 390)) assertLimitHolds(limit, List(hosts) { 1.0 / hosts })
+        }
+    }
+
+    @Test
+    fun hostsWithUnevenDemandExceedTheLimitOfAnUpstream() {
+        for (limit in listOf(2.8, 7.9)) assertLimitHolds(limit, listOf(0.6, 0.2) + List(7) { 0.2 / 7 })
+    }
+
+    @Test
+    fun aLimitOfZeroStillLetsARequestThroughNowAndThen() {
+        val sent = Senders(0.0, List(9) { 1.0 / 9 }).play(seconds = 40)
+        assertTrue(sent.size in 5..25, "${sent.size} requests in 40 s")
+    }
+
+    @Test
+    fun theFirstRequestsAfterALimitIsStatedAreABurst() {
+        var limit: Double? = null
+        val load = RateLimitedLoad(PlainLoad(6)) { limit }
+        assertTrue(load.hasRoom(0, 1.0))
+        limit = 2.0
+        assertFalse(load.hasRoom(60_000, 1.0))
+        assertEquals(500.0, load.expectedWaitMillis(60_000))
+        assertTrue(load.hasRoom(60_500, 1.0))
+        load.sent(60_500, "request", 1.0)
+        assertFalse(load.hasRoom(60_550, 1.0))
+        limit = null
+        assertTrue(load.hasRoom(60_700, 1.0))
+    }
+
+    @Test
+    fun aLimitEndsWithTheFirstResponseWithoutIt() {
+        limits.record(1_000, "engine", 4.0, "a")
+        assertEquals(4.0, limits.limitOf("engine"))
+        assertEquals(RateLimitChange("engine", null), limits.record(2_000, "engine", null, "b"))
+        assertNull(limits.limitOf("engine"))
+    }
+
+    @Test
+    fun aResponseThatWasOvertakenEndsALimit() {
+        limits.record(1_000, "engine", 4.0, "a")
+        limits.record(1_020, "engine", null, "sent before the limit")
+        assertEquals(4.0, limits.limitOf("engine"))
+    }
+
+    @Test
+    fun hostsThatGotNoResponseKnowNoLimit() {
+        val other = StatedRateLimits()
+        val third = StatedRateLimits()
+        limits.record(1_000, "engine", 4.0, "a")
+        other.merge(1_010, limits.news(1_005))
+        third.merge(1_400, other.news(1_390))
+        assertEquals(4.0, third.limitOf("engine"))
+        limits.record(3_000, "engine", null, "b")
+        third.merge(3_010, limits.news(3_005))
+        assertNull(third.limitOf("engine"))
+        third.merge(3_400, other.news(3_390))
+        assertNull(third.limitOf("engine"), "an older statement must not replace the end of the limit")
+    }
+
+    @Test
+    fun upstreamsThatLeftAreForgotten() {
+        limits.record(1_000, "engine@1", 4.0, "a")
+        limits.retain(setOf("engine@2"))
+        assertNull(limits.limitOf("engine@1"))
+        assertEquals(emptyList(), limits.news(1_100))
+    }
+}
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -125,6 +125,9 @@
             return false
         }
         this.response = response
+        if (echoed != null && response.status().code() != MISDIRECTED_REQUEST) {
+            context.access.rateLimits.responseStarted(upstream.entry, id, response.headers(), genuine = isFromUpstream(response))
+        }
         if (expectsEventStream && isEventStream(response)) framing = EventStreamFraming(context.allocator)
         return true
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -70,7 +70,7 @@
         val parts = suspects.map { it.part }.distinct()
         log.stateChange("event=upstream_crashed upstream=${upstream.id} unanswered_parts=${parts.joinToString(",")}")
         metrics.upstreamCrashed()
-        apply(quarantine.recordCrash(clock.nowMillis(), "${upstream.id}@${upstream.startedAtMillis}", suspects))
+        apply(quarantine.recordCrash(clock.nowMillis(), upstream.incarnation, suspects))
         onCrash()
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -3,6 +3,7 @@
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.CapacityView
 import buckthornbay.core.load.Choice
+import buckthornbay.core.load.RateLimitChange
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
 import buckthornbay.protocol.UpstreamId
@@ -28,7 +29,10 @@
         "event=sent id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} rank=${terms.rank} " +
             "upstream=$upstream attempt=$attempt " +
             "waited_ms=$waitedMillis cost=${choice.cost.toLong()} expected_ms=${choice.expectedMillis.toLong()} " +
-            "at_home=${choice.onPreferredEngine} copy_from=${choice.copyFrom?.id} ${versionFields()}"
+            "at_home=${choice.onPreferredEngine} copy_from=${choice.copyFrom?.id} " +
+            "own_limit_per_s=${choice.upstream.load.view(
+                clock.nowMillis(),
+            ).requestsPerSecond?.let(::twoDecimals)} ${versionFields()}"
     }
 
     fun attemptFailed(terms: RequestTerms, upstream: UpstreamId, attempt: Int, kind: FailureKind, reason: String) =
@@ -63,6 +67,10 @@
         "event=late_answer_skipped id=$id upstream=$upstream answered_id=$answeredId"
     }
 
+    fun rateLimit(change: RateLimitChange) = logRequestLine {
+        "event=rate_limit_stated upstream=${change.upstream} limit_per_s=${change.perSecond}"
+    }
+
     /** Logs a change of this host's state or of its view of the fleet. Such lines are rare and not rate-limited. */
     fun stateChange(message: String) = logger.info { message }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -15,6 +15,7 @@
     val connections: ConnectionPool,
     val retryBudgets: RetryBudgets,
     val crashWatch: CrashWatch,
+    val rateLimits: RateLimitWatch,
 )
 
 /** The components that request handlers share. All of them are confined to one event loop. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -24,6 +24,8 @@
     private val crashes = registry.counter("buckthornbay.upstream.crashes")
     private val quarantinedParts = AtomicInteger().also { registry.gauge("buckthornbay.quarantined.parts", it) }
 
+    private val limitedUpstreams = AtomicInteger().also { registry.gauge("buckthornbay.limited.upstreams", it) }
+
     fun connectionOpened() = connections.increment()
 
     /** Records that an upstream crashed while it processed requests of this host. */
@@ -32,6 +34,9 @@
     /** Records the number of quarantined prompt parts. */
     fun quarantinedParts(count: Int) = quarantinedParts.set(count)
 
+    /** Records the number of upstreams that state a request rate limit. */
+    fun limitedUpstreams(count: Int) = limitedUpstreams.set(count)
+
     /** Records a failed attempt at an upstream. */
     fun attemptFailed(kind: FailureKind) = failedAttempts.getValue(kind).increment()
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -11,6 +11,7 @@
 import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.admission.FleetBacklog
 import buckthornbay.core.admission.WorkspaceAccounts
+import buckthornbay.core.load.HostRateShare
 import buckthornbay.core.load.Placement
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.MembershipSettings
@@ -63,7 +64,16 @@
             context.dispatcher.workspacesWaitingFor(it)
         }
     private val shares = FairShares(accounts.requestedWork) { membership.live().size }
-    private val upstreams = UpstreamTable(registry, { regions[it] }, clock) { shares.hostFraction(clock.nowMillis()) }
+    private val metrics = GatewayMetrics()
+    private val rateLimits = RateLimitWatch(deployment.callerInterface, clock, log, metrics)
+    private val rateShare = HostRateShare(
+        settings.host,
+        { membership.live().map { it.host } },
+    ) { shares.hostFraction(clock.nowMillis()) }
+    private val upstreams =
+        UpstreamTable(registry, { regions[it] }, clock, { shares.hostFraction(clock.nowMillis()) }) { upstream, nowMillis ->
+            rateLimits.limitOf(upstream)?.let { rateShare.of(nowMillis, upstream.incarnation, it) }
+        }
     private val connections = ConnectionPool(group, clock, PoolSettings())
     private val transport = NettyTransport(connections)
     private val fleetView = FleetView(deployment.format, registry, clock, log, ::fleetViewChanged)
@@ -80,11 +90,10 @@
         transport,
         log,
     )
-    private val metrics = GatewayMetrics()
     private val crashWatch = CrashWatch(PromptQuarantine(), connections, eventLoop, clock, log, metrics)
     private val peers = PeerExchange(
         membership,
-        SharedState(accounts, crashWatch),
+        SharedState(accounts, crashWatch, rateLimits),
         fleetView,
         transport,
         log,
@@ -110,7 +119,7 @@
         clock,
         eventLoop,
         deployment.callerInterface,
-        UpstreamAccess(upstreams, connections, retryBudgets, crashWatch),
+        UpstreamAccess(upstreams, connections, retryBudgets, crashWatch, rateLimits),
         Admission(AdmissionPolicy(random), shares, CallerRetryTracker()),
         accounts,
         log,
@@ -131,6 +140,7 @@
             clock,
         )
         crashWatch.onCrash = peers::announce
+        rateLimits.onChange = peers::announce
         crashWatch.onQuarantined = ::endQuarantinedRequests
         listeners.listen(settings.listen.callers, callers)
         settings.listen.run { listOfNotNull(readiness, control, addresses, metrics) }.distinct()
@@ -230,6 +240,7 @@
         upstreams.routes = fleetView.routes
         shares.tokensPerSecond = fleetView.routes?.configuration?.tokensPerSecond
         upstreams.refresh()
+        rateLimits.retain(registry.all())
         context.dispatcher.placeAll()
         peers.announce()
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -4,6 +4,7 @@
 import buckthornbay.core.admission.WorkspaceAccounts
 import buckthornbay.core.admission.toTokens
 import buckthornbay.core.admission.toWholeTokens
+import buckthornbay.core.load.RateLimitNews
 import buckthornbay.core.membership.HostReport
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.OutgoingHeartbeat
@@ -39,6 +40,7 @@
  * @property waiting workspaces that have requests queued at the sender.
  * @property storeAgeMillis time since the last contact of any host with the store, as far as the sender knows, in milliseconds.
  * @property quarantine recent crashes of upstreams and the quarantined prompt parts, as far as the sender knows.
+ * @property rateLimits request rate limits that upstreams state, as far as the sender knows.
  */
 @Serializable
 internal data class GossipMessage(
@@ -49,10 +51,11 @@
     @SerialName("w") val waiting: Set<WorkspaceId>,
     @SerialName("s") val storeAgeMillis: Long,
     @SerialName("q") val quarantine: QuarantineNews = QuarantineNews(),
+    @SerialName("l") val rateLimits: List<RateLimitNews> = emptyList(),
 )
 
 /** The state of this host that it exchanges with its peers. */
-internal class SharedState(val accounts: WorkspaceAccounts, val crashWatch: CrashWatch)
+internal class SharedState(val accounts: WorkspaceAccounts, val crashWatch: CrashWatch, val rateLimits: RateLimitWatch)
 
 /** Store contents that are newer than those of the requesting peer; null where the peer is up to date. */
 @Serializable
@@ -62,7 +65,8 @@
 )
 
 /**
- * The gossip exchange with peers: membership, versions of configuration and registrations, workspace accounts and quarantine.
+ * The gossip exchange with peers: membership, versions of configuration and registrations, workspace accounts,
+ * quarantined prompt parts and request rate limits.
  *
  * A host that learns of a newer version from a peer fetches a snapshot from that peer.
  */
@@ -131,6 +135,7 @@
         if (!accountsExchange.isNeeded) mergeAccounts(nowMillis, sender, message)
         watcherSelection.recordPeerContact(nowMillis, message.storeAgeMillis)
         shared.crashWatch.merge(message.quarantine)
+        shared.rateLimits.merge(message.rateLimits)
         catchUp(sender.url, message)
         val reply = membership.receive(nowMillis, message.heartbeat, report()) ?: return ""
         return WireJson.encodeToString(GossipMessage.serializer(), messageWith(reply.heartbeat))
@@ -207,6 +212,7 @@
         if (accountsExchange.isNeeded) emptySet() else accounts.waiting(),
         watcherSelection.contactAgeMillis(clock.nowMillis()),
         shared.crashWatch.news(),
+        shared.rateLimits.news(),
     )
 
     private fun report() = HostReport(fleetView.configurationVersion, loadPermille = 0)
--- /dev/null
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/RateLimitWatch.kt
@@ -0,0 +1,59 @@
+package buckthornbay.router.gateway
+
+import buckthornbay.core.Clock
+import buckthornbay.core.load.RateLimitChange
+import buckthornbay.core.load.RateLimitNews
+import buckthornbay.core.load.StatedRateLimits
+import buckthornbay.core.registry.UpstreamEntry
+import buckthornbay.core.wire.CallerInterface
+import io.netty.handler.codec.http.HttpHeaders
+
+/** Reads the request rate limits that upstreams state in their responses. */
+internal class RateLimitWatch(
+    private val callerInterface: CallerInterface,
+    private val clock: Clock,
+    private val log: DecisionLog,
+    private val metrics: GatewayMetrics,
+) {
+    private val limits = StatedRateLimits()
+
+    /** Called when this host has received a response with another limit than before, which peers should learn of at once. */
+    var onChange: () -> Unit = {}
+
+    /** Returns the limit of [upstream] for all hosts together, in requests per second; null if it states none. */
+    fun limitOf(upstream: UpstreamEntry): Double? = limits.limitOf(upstream.incarnation)
+
+    /**
+     * Reads the [headers] of the response of [upstream] to request [id].
+     *
+     * @param genuine whether the response is certainly the upstream's own, so that a missing header means that there is no limit.
+     */
+    fun responseStarted(upstream: UpstreamEntry, id: String, headers: HttpHeaders, genuine: Boolean) {
+        val text = headers[callerInterface.headers.requestRateLimit]
+        val perSecond = text?.let(callerInterface::requestRateLimit)
+        when {
+            text != null && perSecond == null ->
+                log.warning("event=rate_limit_unreadable upstream=${upstream.id} id=$id value=\"$text\"")
+            text != null || genuine -> {
+                val change = limits.record(clock.nowMillis(), upstream.incarnation, perSecond, id) ?: return
+                report(listOf(change))
+                onChange()
+            }
+        }
+    }
+
+    fun news(): List<RateLimitNews> = limits.news(clock.nowMillis())
+
+    fun merge(news: List<RateLimitNews>) = report(limits.merge(clock.nowMillis(), news))
+
+    /** Forgets the upstreams that are not registered any more. */
+    fun retain(registered: List<UpstreamEntry>) {
+        limits.retain(registered.map { it.incarnation }.toSet())
+        metrics.limitedUpstreams(limits.size)
+    }
+
+    private fun report(changes: List<RateLimitChange>) {
+        for (change in changes) log.rateLimit(change)
+        if (changes.isNotEmpty()) metrics.limitedUpstreams(limits.size)
+    }
+}
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
@@ -5,6 +5,7 @@
 import buckthornbay.core.load.EngineLoad
 import buckthornbay.core.load.PlainLoad
 import buckthornbay.core.load.PrefixCacheModel
+import buckthornbay.core.load.RateLimitedLoad
 import buckthornbay.core.load.SendOutcome
 import buckthornbay.core.load.UpstreamReliability
 import buckthornbay.core.registry.UpstreamEntry
@@ -42,6 +43,7 @@
     private val regionOfZone: (ZoneId) -> RegionId?,
     private val clock: Clock,
     private val hostFraction: () -> Double,
+    private val ownLimit: (UpstreamEntry, nowMillis: Long) -> Double?,
 ) {
     private val states = HashMap<UpstreamId, UpstreamState>()
     private val byService = HashMap<ServiceId, List<Candidate>>()
@@ -69,7 +71,9 @@
 
     private fun newState(entry: UpstreamEntry): UpstreamState {
         val engine = routes?.service(entry.service)?.engine
-        val load = if (engine == null) PlainLoad(entry.slots) else EngineLoad(hostFraction = hostFraction)
+        val load = RateLimitedLoad(
+            if (engine == null) PlainLoad(entry.slots) else EngineLoad(hostFraction = hostFraction),
+        ) { nowMillis -> ownLimit(entry, nowMillis) }
         val cache = engine?.let { PrefixCacheModel() }
         return UpstreamState(entry, Candidate(entry.id, regionOfZone(entry.zone), load, UpstreamReliability(), cache), clock)
     }
