--- a/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
@@ -107,9 +107,7 @@
         )
         assertWhole(
             play {
-                write(
-                    "HTTP/1.1 200 OK\r\n${requiredHeaders()}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                )
+                beginResponse("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")
                 val text = event(1) + "id: 2\nda"
                 write("${text.length.toString(16)}\r\n$text\r\n0\r\n\r\n")
             },
