Keep quarantined prompt parts in the platform's store

A restart of all hosts at once lost the quarantine, so that the part crashed three more engines before it was blamed again.

Cause: the quarantine was in the memory of the hosts only, like everything else that they learn from traffic; unlike the rest, learning it again costs engines. QuarantineStoreTest.aPartIsForgottenWhenAllHostsRestart restarts the only host: the request with the part must be refused without reaching an engine.

Two hosts, the first by rendezvous hashing, write each part; hosts read the parts when they start. A restored part is released by any answer that a host knows of.

--- a/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
@@ -47,6 +47,18 @@
         return if (crash.add(suspects)) update(nowMillis) else emptyList()
     }
 
+    /**
+     * Quarantines [parts] that were quarantined before all hosts restarted.
+     *
+     * Nothing is known of their crashes. They count as old, so that any answer that a host knows of releases them.
+     */
+    public fun restore(nowMillis: Long, parts: List<String>): List<QuarantineChange> = parts
+        .filter { it !in quarantined && it !in proofs }
+        .map { part ->
+            quarantined[part] = Entry(RESTORED, nowMillis - settings.evidenceMillis)
+            QuarantineChange.Quarantined(part, crashes = 0)
+        }
+
     /** Returns the first part of [demand] that is quarantined, or null if there is none. */
     public fun quarantinedPart(demand: TokenDemand): String? {
         if (quarantined.isEmpty()) return null
@@ -155,6 +167,11 @@
     }
 
     private fun crashesWith(part: String) = crashes.values.count { it.suspect(part) != null }
+
+    private companion object {
+        /** Stands for the unknown first crash of a restored part. */
+        const val RESTORED = "restored"
+    }
 }
 
 /**
--- a/core/src/main/kotlin/buckthornbay/core/wire/FleetFormat.kt
+++ b/core/src/main/kotlin/buckthornbay/core/wire/FleetFormat.kt
@@ -16,6 +16,9 @@
     /** The kind of the store objects by which upstreams register themselves. */
     public val registrationsKind: String
 
+    /** The kind of the store objects that are named like the quarantined prompt parts. */
+    public val quarantineKind: String
+
     /** Decodes a configuration, or returns a description of the error. */
     public fun configuration(value: JsonElement): Result<FleetConfiguration, String>
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -30,6 +30,9 @@
     /** Called when parts are quarantined. */
     var onQuarantined: () -> Unit = {}
 
+    /** Called with each change that this host has decided or learned of, except for those that were restored. */
+    var onChange: (QuarantineChange) -> Unit = {}
+
     /** Called after this host recognized a crash, which peers should learn of at once. */
     var onCrash: () -> Unit = {}
 
@@ -59,6 +62,9 @@
 
     fun merge(news: QuarantineNews) = apply(quarantine.merge(clock.nowMillis(), news))
 
+    /** Quarantines [parts], which were quarantined before all hosts restarted. */
+    fun restore(parts: List<String>) = report(quarantine.restore(clock.nowMillis(), parts))
+
     fun expire() = apply(quarantine.expire(clock.nowMillis()))
 
     private fun check(upstream: UpstreamEntry) = connections.checkReachable(upstream.address) { reachable ->
@@ -75,6 +81,11 @@
     }
 
     private fun apply(changes: List<QuarantineChange>) {
+        report(changes)
+        changes.forEach(onChange)
+    }
+
+    private fun report(changes: List<QuarantineChange>) {
         if (changes.isEmpty()) return
         for (change in changes) {
             when (change) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -17,6 +17,7 @@
 import buckthornbay.core.membership.MembershipSettings
 import buckthornbay.core.membership.StoreWatcherSelection
 import buckthornbay.core.quarantine.PromptQuarantine
+import buckthornbay.core.quarantine.QuarantineChange
 import buckthornbay.core.registry.UpstreamRegistry
 import buckthornbay.core.wire.CallerInterface
 import buckthornbay.core.wire.FleetFormat
@@ -102,6 +103,14 @@
         scope,
     )
     private val store = deployment.store(transport, settings.store.address)
+    private val quarantineStore = QuarantineStore(
+        store,
+        deployment.format.quarantineKind,
+        settings.host,
+        { membership.live().map { it.host } },
+        log,
+        scope,
+    )
     private val watcher =
         StoreWatcher(
             store,
@@ -142,11 +151,18 @@
         crashWatch.onCrash = peers::announce
         rateLimits.onChange = peers::announce
         crashWatch.onQuarantined = ::endQuarantinedRequests
+        crashWatch.onChange = { change ->
+            when (change) {
+                is QuarantineChange.Quarantined -> quarantineStore.add(change.part)
+                is QuarantineChange.Released -> quarantineStore.remove(change.part)
+            }
+        }
         listeners.listen(settings.listen.callers, callers)
         settings.listen.run { listOfNotNull(readiness, control, addresses, metrics) }.distinct()
             .forEach { listeners.listen(it, hostHandler) }
         scope.launch { runMaintenance() }
         scope.launch { watcher.start(scope) }
+        scope.launch { quarantineStore.restore(crashWatch::restore) }
         scope.launch { peers.start() }
         log.stateChange("event=started host=${settings.host} incarnation=$incarnation callers=${settings.listen.callers}")
     }
--- a/store/src/main/kotlin/buckthornbay/store/ObjectCollections.kt
+++ b/store/src/main/kotlin/buckthornbay/store/ObjectCollections.kt
@@ -31,4 +31,7 @@
 
     /** Creates the object [name] of [kind], or replaces its value if it exists. */
     public suspend fun put(kind: String, name: String, value: JsonElement): Result<Unit, StoreError>
+
+    /** Deletes the object [name] of [kind]; succeeds if there is none. */
+    public suspend fun remove(kind: String, name: String): Result<Unit, StoreError>
 }
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
@@ -9,6 +9,7 @@
 import io.ktor.server.request.receiveText
 import io.ktor.server.response.respond
 import io.ktor.server.response.respondText
+import io.ktor.server.routing.delete
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
@@ -73,6 +74,7 @@
             get("/v1/objects/{kind}") { withFaults { if (parameter("Watch") != null) watch() else list() } }
             post("/v1/objects/{kind}") { withFaults { create() } }
             put("/v1/objects/{kind}/{name}") { withFaults { replace() } }
+            delete("/v1/objects/{kind}/{name}") { withFaults { delete() } }
         }
     }.start(wait = false)
 
@@ -165,6 +167,13 @@
         write(name, Json.parseToJsonElement(receiveText()).jsonObject)
     }
 
+    private suspend fun ApplicationCall.delete() {
+        val name = checkNotNull(parameters["name"]) { "the path has no object name" }
+        if (name !in names(kind())) return respond(HttpStatusCode.NotFound)
+        remove(kind(), name)
+        respondJson(JsonObject(emptyMap()))
+    }
+
     private suspend fun ApplicationCall.write(name: String, body: JsonObject) {
         put(kind(), name, body["Spec"] ?: JsonNull)
         if (faults.losesReplies) awaitCancellation()
