--- a/core/src/main/kotlin/buckthornbay/core/load/RateLimitedLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/RateLimitedLoad.kt
@@ -31,7 +31,7 @@
     /** Returns the requests per second that this host may send to [upstream], which takes [limit] from all hosts together. */
     public fun of(nowMillis: Long, upstream: String, limit: Double): Double {
         refreshHosts(nowMillis)
-        val total = maxOf(limit, MIN_TOTAL_RATE) * UTILIZATION
+        val total = maxOf(limit, MIN_TOTAL_RATE)
         val users = (total / MIN_HOST_RATE).toInt().coerceAtLeast(1)
         if (users >= liveHosts.size) return total * hostFraction()
         return if (isUser(upstream, users)) total / users else 0.0
@@ -60,9 +60,6 @@
         /** Minimum time between two readings of the live hosts, in milliseconds; a failed host is noticed in seconds. */
         const val HOSTS_REFRESH_MILLIS = 250L
 
-        /** Part of the limit that is used; the fractions of the hosts may add up to more than 1 while the demand changes. */
-        const val UTILIZATION = 0.9
-
         /** Minimum rate of a host, in requests per second. */
         const val MIN_HOST_RATE = 0.5
 
