Take the lowest of several stated rate limits, and bound the log of unreadable ones

A response with two such headers was taken by its first; the lower one is safe. Lines about unreadable values now count against the limit of request lines, since an upstream can send one with each response. Negative, infinite and malformed numbers leave the known limit in force.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -71,6 +71,10 @@
         "event=rate_limit_stated upstream=${change.upstream} limit_per_s=${change.perSecond}"
     }
 
+    fun rateLimitUnreadable(upstream: UpstreamId, id: String, values: List<String>) = logRequestLine {
+        "event=rate_limit_unreadable upstream=$upstream id=$id values=\"${values.joinToString()}\""
+    }
+
     /** Logs a change of this host's state or of its view of the fleet. Such lines are rare and not rate-limited. */
     fun stateChange(message: String) = logger.info { message }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/RateLimitWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/RateLimitWatch.kt
@@ -29,12 +29,11 @@
      * @param genuine whether the response is certainly the upstream's own, so that a missing header means that there is no limit.
      */
     fun responseStarted(upstream: UpstreamEntry, id: String, headers: HttpHeaders, genuine: Boolean) {
-        val text = headers[callerInterface.headers.requestRateLimit]
-        val perSecond = text?.let(callerInterface::requestRateLimit)
+        val texts = headers.getAll(callerInterface.headers.requestRateLimit)
+        val perSecond = texts.mapNotNull(callerInterface::requestRateLimit).minOrNull()
         when {
-            text != null && perSecond == null ->
-                log.warning("event=rate_limit_unreadable upstream=${upstream.id} id=$id value=\"$text\"")
-            text != null || genuine -> {
+            texts.isNotEmpty() && perSecond == null -> log.rateLimitUnreadable(upstream.id, id, texts)
+            texts.isNotEmpty() || genuine -> {
                 val change = limits.record(clock.nowMillis(), upstream.incarnation, perSecond, id) ?: return
                 report(listOf(change))
                 onChange()
