Try quarantined parts again, and bound what callers can make hosts remember

The tests use the new functions and were not run on the code before.

- A part that was blamed by chance, or whose crash was mended, stayed refused for ten minutes, and then each host would have sent it again.
Now one host tries one request after two minutes, and each failed trial doubles the time.
- A request with a part that was in two successive crashes was repeated when it broke, and took the next engine along.
- Made-up parts could push out the proofs that clear sound parts.
Proofs of suspected parts are kept apart, a request counts with 32 parts at most, and messages carry first the parts that were involved in several crashes.
- Of two parts that always come together, the later one was blamed; now the one that was never answered.

Metrics and logs name each quarantined part, its age and the upstreams that ended under it.

--- a/core/src/main/kotlin/buckthornbay/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/CrashEvidence.kt
@@ -31,8 +31,8 @@
     fun suspect(part: String): Suspect? = byPart[part]
 
     private companion object {
-        /** Maximum number of parts recorded for a crash; an engine has some hundred requests at most, which share most parts. */
-        const val MAX_SUSPECTS = 512
+        /** Maximum number of parts recorded for a crash; an engine has some hundred requests with a few parts each. */
+        const val MAX_SUSPECTS = 4_096
     }
 }
 
@@ -50,7 +50,8 @@
  * A part is blamed for at least [minRounds] crashes, each of which ended a request with the part that was sent after the
  * previous one, while none of its requests has been answered since the first. Upstreams that crash at the same time for another
  * reason thus count once, whatever they were processing. A crash that one part explains does not count against the other parts
- * that were involved in it.
+ * that were involved in it. Of parts that explain the same crashes, one that was never answered is blamed first, then the most
+ * specific one.
  *
  * @param answeredAtMillis time at which a request with a part was last answered, in milliseconds; null if it never was.
  */
@@ -61,14 +62,15 @@
         val parts = unexplained.flatMap { it.suspects }.groupingBy { it.part }.eachCount().filterValues { it >= minRounds }.keys
         val next = parts.mapNotNull { blameOf(it, unexplained, answeredAtMillis(it)) }
             .filter { it.rounds >= minRounds }
-            .maxWithOrNull(compareBy({ it.rounds }, { it.position }, { it.part })) ?: break
+            .maxWithOrNull(compareBy({ it.rounds }, { answeredAtMillis(it.part) == null }, { it.position }, { it.part })) ?: break
         blamed += next
         unexplained = unexplained.filter { it.suspect(next.part) == null }
     }
     return blamed
 }
 
-private fun blameOf(part: String, crashes: List<Crash>, answeredAtMillis: Long?): Blame? {
+/** Returns what speaks against [part], given [crashes] in order of time; null if nothing does. */
+internal fun blameOf(part: String, crashes: List<Crash>, answeredAtMillis: Long?): Blame? {
     var rounds = 0
     var position = 0
     var first: Crash? = null
--- a/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
@@ -7,13 +7,25 @@
 public sealed interface QuarantineChange {
     public val part: String
 
-    /** Requests with [part] are refused from now on; [crashes] of the upstreams that are known here ended under them. */
-    public data class Quarantined(override val part: String, public val crashes: Int) : QuarantineChange
+    /** Requests with [part] are refused from now on; [upstreams] are the crashed ones that this host knows of. */
+    public data class Quarantined(override val part: String, public val upstreams: List<String>) : QuarantineChange
 
     /** Requests with [part] are accepted again. */
     public data class Released(override val part: String, public val reason: String) : QuarantineChange
 }
 
+/** Whether a request may be sent, as far as its prompt parts are concerned. */
+public sealed interface QuarantineVerdict {
+    /** The request has no quarantined part. */
+    public data object Accepted : QuarantineVerdict
+
+    /** The request is sent to find out whether upstreams still crash under its quarantined parts. */
+    public data object Trial : QuarantineVerdict
+
+    /** The request is refused because of [part], which may be tried again in [retryAfterMillis] milliseconds. */
+    public data class Refused(public val part: String, public val retryAfterMillis: Long) : QuarantineVerdict
+}
+
 /**
  * The prompt parts under which upstreams crash, as known to this host.
  *
@@ -21,131 +33,195 @@
  * each request takes with it whatever else the upstream was processing. So hosts share which parts were involved in crashes and
  * refuse requests with a part that explains several of them.
  *
- * Crashes and proofs are passed on while they are recent, quarantined parts for as long as they are in force.
+ * A part is released by an answer to a request with it. When its hold time is over, one host of the fleet sends one request as a
+ * trial; if the upstream crashes again, the hold time doubles.
+ *
+ * Crashes and proofs are passed on while they are recent, quarantined parts always.
  */
 public class PromptQuarantine(private val settings: QuarantineSettings = QuarantineSettings()) {
     private class Proof(val id: String, val atMillis: Long)
 
-    private class Entry(val firstCrash: String, val sinceMillis: Long)
+    /**
+     * A quarantined part.
+     *
+     * @property sinceMillis time of the first crash that the part is blamed for; a later answer releases it.
+     * @property heldUntilMillis time from which a trial is allowed.
+     */
+    private class Entry(val firstCrash: String, val sinceMillis: Long, val heldUntilMillis: Long, val holdMillis: Long) {
+        var trialAtMillis: Long? = null
+    }
+
+    /** Latest answers, which are kept for the time that a crash needs to become known. */
+    private val recentProofs = LruMap<String, Proof>(settings.maxRecentProofs)
 
-    private val proofs = LruMap<String, Proof>(settings.maxProofs)
+    /** Latest answers to requests with the parts that are suspected or quarantined; other parts don't push them out. */
+    private val proofs = HashMap<String, Proof>()
     private val crashes = LinkedHashMap<String, Crash>()
     private val quarantined = LinkedHashMap<String, Entry>()
 
-    /** Number of quarantined parts. */
-    public val size: Int get() = quarantined.size
+    /** Quarantined parts, each with the time of the first crash that it is blamed for, in milliseconds. */
+    public val sinceMillisByPart: Map<String, Long> get() = quarantined.mapValues { it.value.sinceMillis }
 
     /** Records that request [id] with [demand] was answered, which proves that its parts crash no upstream. */
     public fun recordAnswered(nowMillis: Long, id: String, demand: TokenDemand): List<QuarantineChange> {
-        demand.sharedParts.forEach { proofs[it.id] = Proof(id, nowMillis) }
-        return if (demand.sharedParts.any { it.id in quarantined }) update(nowMillis) else emptyList()
+        val proof = Proof(id, nowMillis)
+        for (part in partsOf(demand)) {
+            recentProofs[part] = proof
+            if (isRelevant(part)) proofs[part] = proof
+        }
+        return if (partsOf(demand).any { it in quarantined }) releaseProven() else emptyList()
     }
 
     /** Records that the incarnation [upstream] crashed; [suspects] are parts of requests that it had not begun to answer. */
-    public fun recordCrash(nowMillis: Long, upstream: String, suspects: List<Suspect>): List<QuarantineChange> {
-        val crash = crashes.getOrPut(upstream) { Crash(upstream, nowMillis) }
-        return if (crash.add(suspects)) update(nowMillis) else emptyList()
-    }
+    public fun recordCrash(nowMillis: Long, upstream: String, suspects: List<Suspect>): List<QuarantineChange> =
+        if (addCrash(upstream, nowMillis, suspects)) update(nowMillis) else emptyList()
 
     /**
-     * Quarantines [parts] that were quarantined before all hosts restarted.
+     * Decides whether a request with [demand] may be sent.
      *
-     * Nothing is known of their crashes. They count as old, so that any answer that a host knows of releases them.
+     * @param isTrialHost whether this host is the one that tries a part again.
      */
-    public fun restore(nowMillis: Long, parts: List<String>): List<QuarantineChange> = parts
-        .filter { it !in quarantined && it !in proofs }
-        .map { part ->
-            quarantined[part] = Entry(RESTORED, nowMillis - settings.evidenceMillis)
-            QuarantineChange.Quarantined(part, crashes = 0)
+    public fun verdict(nowMillis: Long, demand: TokenDemand, isTrialHost: (String) -> Boolean): QuarantineVerdict {
+        if (quarantined.isEmpty()) return QuarantineVerdict.Accepted
+        val involved = partsOf(demand).mapNotNull { part -> quarantined[part]?.let { part to it } }
+        if (involved.isEmpty()) return QuarantineVerdict.Accepted
+        val blocking = involved.firstOrNull { (part, entry) -> !isTrialDue(nowMillis, entry) || !isTrialHost(part) }
+        if (blocking != null) {
+            val retryAfterMillis = blocking.second.heldUntilMillis - nowMillis
+            return QuarantineVerdict.Refused(blocking.first, retryAfterMillis.coerceAtLeast(settings.trialMillis))
         }
-
-    /** Returns the first part of [demand] that is quarantined, or null if there is none. */
-    public fun quarantinedPart(demand: TokenDemand): String? {
-        if (quarantined.isEmpty()) return null
-        return demand.sharedParts.firstOrNull { it.id in quarantined }?.id
+        involved.forEach { (_, entry) -> entry.trialAtMillis = nowMillis }
+        return QuarantineVerdict.Trial
     }
 
-    /** Returns the time until [part] is accepted again, in milliseconds; 0 if it is not quarantined. */
-    public fun remainingMillis(nowMillis: Long, part: String): Long {
-        val entry = quarantined[part] ?: return 0
-        return (entry.sinceMillis + settings.holdMillis - nowMillis).coerceAtLeast(0)
+    /** Returns the first quarantined part of [demand], or null if there is none. */
+    public fun quarantinedPart(demand: TokenDemand): String? =
+        if (quarantined.isEmpty()) null else partsOf(demand).firstOrNull { it in quarantined }
+
+    /** Returns whether a failed request with [demand] must not be repeated, because it may crash the next upstream as well. */
+    public fun isSuspected(demand: TokenDemand): Boolean {
+        if (crashes.isEmpty()) return quarantinedPart(demand) != null
+        val byTime = crashes.values.sortedBy { it.atMillis }
+        return partsOf(demand).any { part ->
+            part in quarantined || (blameOf(part, byTime, proofOf(part)?.atMillis)?.rounds ?: 0) >= settings.minRounds - 1
+        }
     }
 
-    /** Drops what is too old to matter; returns the parts that are accepted again. */
-    public fun expire(nowMillis: Long): List<QuarantineChange> {
-        crashes.values.removeIf { nowMillis - it.atMillis > settings.evidenceMillis }
-        val ended = quarantined.filterValues { nowMillis - it.sinceMillis >= settings.holdMillis }.keys.toList()
-        return ended.map { release(it, "the hold time is over") }
+    /** Quarantines [parts] that were quarantined before all hosts restarted. */
+    public fun restore(nowMillis: Long, parts: List<String>): List<QuarantineChange> = parts
+        .filter { it !in quarantined && proofOf(it) == null }
+        .map { part ->
+            // Nothing is known of the crashes. They count as old, so that any answer that a host knows of releases the part.
+            val sinceMillis = nowMillis - settings.evidenceMillis
+            quarantined[part] = Entry(RESTORED, sinceMillis, nowMillis + settings.holdMillis, settings.holdMillis)
+            QuarantineChange.Quarantined(part, upstreams = emptyList())
+        }
+
+    /** Drops what is too old to matter. */
+    public fun expire(nowMillis: Long) {
+        val dropped = crashes.values.removeIf { nowMillis - it.atMillis > settings.evidenceMillis }
+        if (dropped) proofs.keys.removeIf { !isRelevant(it) }
     }
 
     /** Returns what a peer needs to know. */
     public fun news(nowMillis: Long): QuarantineNews {
+        if (crashes.isEmpty() && quarantined.isEmpty()) return QuarantineNews()
         val recent = crashes.values.filter {
             nowMillis - it.atMillis <= settings.relayMillis
         }.takeLast(settings.maxRelayedCrashes)
-        val relevantParts = recent.flatMap { crash -> crash.suspects.map { it.part } }.toSet() + quarantined.keys
+        val crashNews = recent.map { crash -> crashNews(nowMillis, crash, settings.maxRelayedSuspects / recent.size) }
+        val parts = crashNews.flatMap { crash -> crash.suspects.map { it.part } }.toSet() + quarantined.keys
         return QuarantineNews(
-            crashes = recent.map { crash ->
-                val suspects = crash.suspects.map { SuspectNews(it.part, it.position, nowMillis - it.sentAtMillis) }
-                CrashNews(crash.upstream, nowMillis - crash.atMillis, suspects)
-            },
-            answered = relevantParts.mapNotNull { part ->
+            crashes = crashNews,
+            answered = parts.mapNotNull { part ->
                 proofs[part]?.let { AnsweredNews(part, it.id, nowMillis - it.atMillis) }
             },
             quarantined = quarantined.map { (part, entry) ->
-                QuarantinedNews(part, entry.firstCrash, nowMillis - entry.sinceMillis)
+                val heldMillis = entry.heldUntilMillis - nowMillis
+                QuarantinedNews(part, entry.firstCrash, nowMillis - entry.sinceMillis, heldMillis, entry.holdMillis)
             },
         )
     }
 
     /** Merges the [news] of a peer. */
     public fun merge(nowMillis: Long, news: QuarantineNews): List<QuarantineChange> {
-        val newCrashes = news.crashes.count { mergeCrash(nowMillis, it) }
-        val newProofs = news.answered.filter { mergeProof(nowMillis, it) }.count { it.part in quarantined }
-        val adopted = news.quarantined.filter { mergeQuarantined(nowMillis, it) }
-            .map { QuarantineChange.Quarantined(it.part, crashesWith(it.part)) }
-        return adopted + if (newCrashes + newProofs > 0) update(nowMillis) else emptyList()
+        val newCrashes = news.crashes.count { crash ->
+            val suspects = crash.suspects.map { Suspect(it.part, it.position, nowMillis - it.sentAgeMillis) }
+            addCrash(crash.upstream, nowMillis - crash.ageMillis, suspects)
+        }
+        news.answered.forEach { mergeProof(nowMillis, it) }
+        val changes = news.quarantined.mapNotNull { mergeQuarantined(nowMillis, it) }
+        return changes + if (newCrashes > 0) update(nowMillis) else releaseProven()
     }
 
-    private fun mergeCrash(nowMillis: Long, news: CrashNews): Boolean {
-        val crash = crashes.getOrPut(news.upstream) { Crash(news.upstream, nowMillis - news.ageMillis) }
-        return crash.add(news.suspects.map { Suspect(it.part, it.position, nowMillis - it.sentAgeMillis) })
+    private fun partsOf(demand: TokenDemand): List<String> = demand.sharedParts.take(MAX_PARTS_PER_REQUEST).map { it.id }
+
+    private fun isTrialDue(nowMillis: Long, entry: Entry): Boolean {
+        val trialAtMillis = entry.trialAtMillis
+        return nowMillis >= entry.heldUntilMillis && (trialAtMillis == null || nowMillis - trialAtMillis >= settings.trialMillis)
     }
 
-    private fun mergeProof(nowMillis: Long, news: AnsweredNews): Boolean {
+    private fun isRelevant(part: String) = part in quarantined || crashes.values.any { it.suspect(part) != null }
+
+    private fun proofOf(part: String): Proof? = proofs[part] ?: recentProofs[part]
+
+    private fun addCrash(upstream: String, atMillis: Long, suspects: List<Suspect>): Boolean {
+        val crash = crashes.getOrPut(upstream) { Crash(upstream, atMillis) }
+        if (!crash.add(suspects.filter { it.position < MAX_PARTS_PER_REQUEST })) return false
+        if (crashes.size > settings.maxCrashes) crashes.remove(crashes.keys.first())
+        for (suspect in crash.suspects) {
+            if (suspect.part !in proofs) recentProofs[suspect.part]?.let { proofs[suspect.part] = it }
+        }
+        return true
+    }
+
+    /** Parts that were involved in most crashes come first, so that made-up parts of one crash don't push out a real one. */
+    private fun crashNews(nowMillis: Long, crash: Crash, maxSuspects: Int): CrashNews {
+        val suspects = crash.suspects.sortedByDescending { crashesWith(it.part).size }.take(maxSuspects)
+            .map { SuspectNews(it.part, it.position, nowMillis - it.sentAtMillis) }
+        return CrashNews(crash.upstream, nowMillis - crash.atMillis, suspects)
+    }
+
+    private fun mergeProof(nowMillis: Long, news: AnsweredNews) {
         val known = proofs[news.part]
         val atMillis = nowMillis - news.ageMillis
-        if (known != null && (known.id == news.proof || known.atMillis >= atMillis)) return false
-        proofs[news.part] = Proof(news.proof, atMillis)
-        return true
+        if (known != null && (known.id == news.proof || known.atMillis >= atMillis)) return
+        if (isRelevant(news.part)) proofs[news.part] = Proof(news.proof, atMillis)
     }
 
-    private fun mergeQuarantined(nowMillis: Long, news: QuarantinedNews): Boolean {
+    private fun mergeQuarantined(nowMillis: Long, news: QuarantinedNews): QuarantineChange? {
         val sinceMillis = nowMillis - news.ageMillis
         val known = quarantined[news.part]
-        val refuted = (proofs[news.part]?.atMillis ?: Long.MIN_VALUE) >= sinceMillis
         val isNewer = known == null || (known.firstCrash != news.firstCrash && known.sinceMillis < sinceMillis)
-        if (refuted || !isNewer || news.ageMillis >= settings.holdMillis) return false
-        quarantined[news.part] = Entry(news.firstCrash, sinceMillis)
-        return known == null
+        if (!isNewer || (proofOf(news.part)?.atMillis ?: Long.MIN_VALUE) >= sinceMillis) return null
+        quarantined[news.part] = Entry(news.firstCrash, sinceMillis, nowMillis + news.heldMillis, news.holdMillis)
+        return if (known == null) QuarantineChange.Quarantined(news.part, crashesWith(news.part)) else null
     }
 
-    /** Applies the evidence: releases parts that are proven sound, then quarantines those that are to blame. */
+    /** Applies new crashes: renews holds, releases parts that are proven sound and quarantines those that are to blame. */
     private fun update(nowMillis: Long): List<QuarantineChange> {
-        val changes = ArrayList<QuarantineChange>()
-        quarantined.filter { (part, entry) -> (proofs[part]?.atMillis ?: Long.MIN_VALUE) >= entry.sinceMillis }.keys.forEach {
-            changes += release(it, "a request with it was answered")
-        }
-        val blamed = blame(crashes.values, settings.minRounds) { proofs[it]?.atMillis }
-        for (blame in blamed) {
-            val entry = Entry(blame.first.upstream, blame.first.atMillis)
-            if (quarantined.put(blame.part, entry) == null) {
-                changes += QuarantineChange.Quarantined(blame.part, crashesWith(blame.part))
-            }
+        renewAfterFailedTrials(nowMillis)
+        val changes = ArrayList(releaseProven())
+        val blamed = blame(crashes.values, settings.minRounds) { proofOf(it)?.atMillis }
+        for (blame in blamed.filter { it.part !in quarantined && quarantined.size < settings.maxQuarantined }) {
+            val heldUntilMillis = nowMillis + settings.holdMillis
+            quarantined[blame.part] = Entry(blame.first.upstream, blame.first.atMillis, heldUntilMillis, settings.holdMillis)
+            changes += QuarantineChange.Quarantined(blame.part, crashesWith(blame.part))
         }
         return changes + releaseExplained(nowMillis, blamed)
     }
 
+    private fun renewAfterFailedTrials(nowMillis: Long) = quarantined.entries.forEach { (part, entry) ->
+        val crash =
+            crashes.values.lastOrNull { it.suspect(part) != null && it.atMillis > entry.heldUntilMillis } ?: return@forEach
+        val holdMillis = (entry.holdMillis * 2).coerceAtMost(settings.maxHoldMillis)
+        quarantined[part] = Entry(crash.upstream, crash.atMillis, nowMillis + holdMillis, holdMillis)
+    }
+
+    private fun releaseProven(): List<QuarantineChange> = quarantined
+        .filter { (part, entry) -> (proofOf(part)?.atMillis ?: Long.MIN_VALUE) >= entry.sinceMillis }
+        .map { (part, _) -> release(part, "a request with it was answered") }
+
     /** Releases the parts whose crashes are all explained by another part that was blamed since. */
     private fun releaseExplained(nowMillis: Long, blamed: List<Blame>): List<QuarantineChange> {
         val explaining = blamed.map { it.part }.toSet()
@@ -166,11 +242,14 @@
         return QuarantineChange.Released(part, reason)
     }
 
-    private fun crashesWith(part: String) = crashes.values.count { it.suspect(part) != null }
+    private fun crashesWith(part: String): List<String> = crashes.values.filter { it.suspect(part) != null }.map { it.upstream }
 
     private companion object {
         /** Stands for the unknown first crash of a restored part. */
         const val RESTORED = "restored"
+
+        /** Maximum number of parts of a request that are considered; callers may list any number. */
+        const val MAX_PARTS_PER_REQUEST = 32
     }
 }
 
@@ -180,17 +259,26 @@
  * @property minRounds number of successive crashes for which a part is quarantined: one may be chance, two the chance of a
  * request and its repetition.
  * @property evidenceMillis how long a crash is kept as evidence, in milliseconds.
- * @property holdMillis how long a part stays quarantined, in milliseconds; long, because each attempt to release it too early
- * costs [minRounds] upstreams.
+ * @property holdMillis time until the first trial of a quarantined part, in milliseconds; each trial may cost an upstream.
+ * @property maxHoldMillis upper bound of the hold time, which doubles with each failed trial, in milliseconds.
+ * @property trialMillis time that a trial may take before the next one, in milliseconds.
  * @property relayMillis how long a crash is passed on to peers, in milliseconds; gossip reaches all hosts within two seconds.
  * @property maxRelayedCrashes maximum number of crashes in a message.
- * @property maxProofs maximum number of parts whose latest answer is remembered.
+ * @property maxRelayedSuspects maximum number of suspected parts in a message, which bounds its size.
+ * @property maxCrashes maximum number of crashes that are kept.
+ * @property maxQuarantined maximum number of quarantined parts.
+ * @property maxRecentProofs maximum number of parts whose latest answer is remembered before they are involved in a crash.
  */
 public data class QuarantineSettings(
     public val minRounds: Int = 3,
     public val evidenceMillis: Long = 300_000,
-    public val holdMillis: Long = 600_000,
+    public val holdMillis: Long = 120_000,
+    public val maxHoldMillis: Long = 3_600_000,
+    public val trialMillis: Long = 10_000,
     public val relayMillis: Long = 5_000,
     public val maxRelayedCrashes: Int = 32,
-    public val maxProofs: Int = 4_096,
+    public val maxRelayedSuspects: Int = 512,
+    public val maxCrashes: Int = 256,
+    public val maxQuarantined: Int = 256,
+    public val maxRecentProofs: Int = 4_096,
 )
--- a/core/src/main/kotlin/buckthornbay/core/quarantine/QuarantineNews.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/QuarantineNews.kt
@@ -63,10 +63,14 @@
  *
  * @property firstCrash identity of the upstream that crashed first among those that the part is blamed for.
  * @property ageMillis time since that crash, in milliseconds.
+ * @property heldMillis time until a trial is allowed, in milliseconds; negative if it is allowed already.
+ * @property holdMillis current hold time, which doubles with each failed trial, in milliseconds.
  */
 @Serializable
 public data class QuarantinedNews(
     @SerialName("p") public val part: String,
     @SerialName("u") public val firstCrash: String,
     @SerialName("t") public val ageMillis: Long,
+    @SerialName("h") public val heldMillis: Long,
+    @SerialName("d") public val holdMillis: Long,
 )
--- a/core/src/test/kotlin/buckthornbay/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/quarantine/PromptQuarantineTest.kt
@@ -4,6 +4,7 @@
 import buckthornbay.core.load.TokenDemand
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertNotNull
 import kotlin.test.assertNull
 import kotlin.test.assertTrue
@@ -55,7 +56,7 @@
             crash("system", "topic-$it", pendingMillis = 2_000)
             nowMillis += 100
         }
-        assertEquals(0, quarantine.size)
+        assertTrue(quarantine.sinceMillisByPart.isEmpty())
     }
 
     @Test
@@ -66,7 +67,7 @@
             quarantine.recordAnswered(nowMillis, "request-$it", demand("system", "topic"))
             nowMillis += 400
         }
-        assertEquals(0, quarantine.size)
+        assertTrue(quarantine.sinceMillisByPart.isEmpty())
     }
 
     @Test
@@ -151,19 +152,89 @@
         assertEquals(nowMillis, proofAgeMillis)
     }
 
+    private fun verdict(part: String, isTrialHost: Boolean = true) = quarantine.verdict(nowMillis, demand(part)) { isTrialHost }
+
+    private fun quarantineBad() = repeat(3) {
+        crash("bad")
+        nowMillis += 400
+    }
+
+    @Test
+    fun eachHostTriesAPartAgainWhenItsHoldTimeIsOver() {
+        quarantineBad()
+        val refused = verdict("bad") as QuarantineVerdict.Refused
+        nowMillis += refused.retryAfterMillis
+        assertTrue(verdict("bad", isTrialHost = false) is QuarantineVerdict.Refused)
+        assertEquals(QuarantineVerdict.Trial, verdict("bad"))
+        assertTrue(verdict("bad") is QuarantineVerdict.Refused, "one trial at a time")
+        nowMillis += 300
+        crash("bad")
+        val renewed = verdict("bad") as QuarantineVerdict.Refused
+        assertTrue(renewed.retryAfterMillis > refused.retryAfterMillis)
+    }
+
+    @Test
+    fun aPartThatCrashesNoUpstreamAnyMoreStaysQuarantined() {
+        quarantineBad()
+        nowMillis += (verdict("bad") as QuarantineVerdict.Refused).retryAfterMillis
+        assertEquals(QuarantineVerdict.Trial, verdict("bad"))
+        quarantine.recordAnswered(nowMillis + 300, "trial", demand("bad"))
+        assertEquals(QuarantineVerdict.Accepted, verdict("bad"))
+    }
+
+    @Test
+    fun aSuspectedRequestTakesTheNextUpstreamAlong() {
+        crash("system", "bad", "rare")
+        nowMillis += 400
+        quarantine.recordAnswered(nowMillis, "request", demand("system", "rare"))
+        assertFalse(quarantine.isSuspected(demand("bad")), "one crash may be chance")
+        crash("system", "bad", "rare")
+        assertTrue(quarantine.isSuspected(demand("system", "bad")))
+        assertFalse(quarantine.isSuspected(demand("system", "rare")))
+    }
+
+    @Test
+    fun madeUpPartsPushOutTheEvidence() {
+        repeat(3) { round ->
+            val madeUp = (0 until 2_000).map { "made-up-$round-$it" }
+            madeUp.chunked(20).forEach { crash(*it.toTypedArray()) }
+            quarantine.recordCrash(nowMillis, "upstream-$round", madeUp.map { Suspect(it, 1, nowMillis - 50) })
+            quarantine.recordCrash(nowMillis, "upstream-$round", listOf(Suspect("bad", 1, nowMillis - 50)))
+            nowMillis += 400
+            madeUp.forEach { quarantine.recordAnswered(nowMillis, "request-$it", demand("answered-$it")) }
+        }
+        assertNotNull(quarantine.quarantinedPart(demand("bad")))
+    }
+
     @Test
-    fun aPartIsAcceptedAgainAfterTheHoldTime() {
+    fun aSharedPartIsBlamedThatAlwaysComesWithTheCrashingOne() {
+        quarantine.recordAnswered(nowMillis, "request", demand("shared"))
         repeat(3) {
-            crash("bad")
             nowMillis += 400
+            crash("bad", "shared")
+        }
+        assertNotNull(quarantine.quarantinedPart(demand("bad")))
+        assertNull(quarantine.quarantinedPart(demand("shared")))
+    }
+
+    @Test
+    fun twoPartsThatCrashUpstreamsAtTheSameTimeAreBothQuarantined() {
+        repeat(3) {
+            crash("system", "bad")
+            nowMillis += 200
+            crash("worse")
+            nowMillis += 200
+            quarantine.recordAnswered(nowMillis, "request-$it", demand("system"))
+        }
+        assertEquals(setOf("bad", "worse"), quarantine.sinceMillisByPart.keys)
+    }
+
+    @Test
+    fun aFirstPartThatComesEveryTenSecondsIsNotBlamed() {
+        repeat(3) {
+            crash("first", "topic-$it")
+            nowMillis += 10_000
         }
-        val remainingMillis = quarantine.remainingMillis(nowMillis, "bad")
-        assertTrue(remainingMillis > 500_000)
-        nowMillis += remainingMillis
-        assertEquals(
-            listOf<QuarantineChange>(QuarantineChange.Released("bad", "the hold time is over")),
-            quarantine.expire(nowMillis),
-        )
-        assertNull(quarantine.quarantinedPart(demand("bad")))
+        assertEquals(setOf("first"), quarantine.sinceMillisByPart.keys)
     }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -5,6 +5,7 @@
 import buckthornbay.core.quarantine.PromptQuarantine
 import buckthornbay.core.quarantine.QuarantineChange
 import buckthornbay.core.quarantine.QuarantineNews
+import buckthornbay.core.quarantine.QuarantineVerdict
 import buckthornbay.core.quarantine.Suspect
 import buckthornbay.core.registry.UpstreamEntry
 import io.netty.channel.EventLoop
@@ -23,6 +24,7 @@
     private val clock: Clock,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
+    private val isTrialHost: (part: String) -> Boolean,
 ) {
     /** Requests that were lost at an upstream while a check of the upstream is pending. */
     private val lostSuspects = HashMap<UpstreamEntry, MutableList<Suspect>>()
@@ -36,11 +38,14 @@
     /** Called after this host recognized a crash, which peers should learn of at once. */
     var onCrash: () -> Unit = {}
 
+    /** Decides whether a request with [demand] may be sent; one host of the fleet tries quarantined parts again. */
+    fun verdict(demand: TokenDemand): QuarantineVerdict = quarantine.verdict(clock.nowMillis(), demand, isTrialHost)
+
     /** Returns the first part of [demand] that is quarantined, or null if there is none. */
     fun quarantinedPart(demand: TokenDemand): String? = quarantine.quarantinedPart(demand)
 
-    /** Returns the time until [part] is accepted again, in milliseconds. */
-    fun remainingMillis(part: String): Long = quarantine.remainingMillis(clock.nowMillis(), part)
+    /** Returns whether a failed request with [demand] must not be repeated, because it may crash the next upstream as well. */
+    fun isSuspected(demand: TokenDemand): Boolean = quarantine.isSuspected(demand)
 
     /** Records that [upstream] closed the connection of a request with [demand], sent at [sentAtMillis], before it answered. */
     fun connectionLost(upstream: UpstreamEntry, demand: TokenDemand, sentAtMillis: Long) {
@@ -65,7 +70,7 @@
     /** Quarantines [parts], which were quarantined before all hosts restarted. */
     fun restore(parts: List<String>) = report(quarantine.restore(clock.nowMillis(), parts))
 
-    fun expire() = apply(quarantine.expire(clock.nowMillis()))
+    fun expire() = quarantine.expire(clock.nowMillis())
 
     private fun check(upstream: UpstreamEntry) = connections.checkReachable(upstream.address) { reachable ->
         val suspects = lostSuspects.remove(upstream).orEmpty()
@@ -90,12 +95,12 @@
         for (change in changes) {
             when (change) {
                 is QuarantineChange.Quarantined ->
-                    log.warning("event=part_quarantined part=${change.part} crashes=${change.crashes} parts=${quarantine.size}")
+                    log.warning("event=part_quarantined part=${change.part} upstreams=${change.upstreams.joinToString(",")}")
                 is QuarantineChange.Released ->
                     log.stateChange("event=part_released part=${change.part} reason=\"${change.reason}\"")
             }
         }
-        metrics.quarantinedParts(quarantine.size)
+        metrics.quarantinedParts(quarantine.sinceMillisByPart, clock)
         if (changes.any { it is QuarantineChange.Quarantined }) onQuarantined()
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -1,8 +1,11 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.Clock
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
 import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.MultiGauge
+import io.micrometer.core.instrument.Tags
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -22,7 +25,7 @@
     }
 
     private val crashes = registry.counter("buckthornbay.upstream.crashes")
-    private val quarantinedParts = AtomicInteger().also { registry.gauge("buckthornbay.quarantined.parts", it) }
+    private val quarantinedParts = MultiGauge.builder("buckthornbay.quarantined.part.age").baseUnit("seconds").register(registry)
 
     private val limitedUpstreams = AtomicInteger().also { registry.gauge("buckthornbay.limited.upstreams", it) }
 
@@ -31,8 +34,13 @@
     /** Records that an upstream crashed while it processed requests of this host. */
     fun upstreamCrashed() = crashes.increment()
 
-    /** Records the number of quarantined prompt parts. */
-    fun quarantinedParts(count: Int) = quarantinedParts.set(count)
+    /** Records the quarantined prompt parts, each with the time of the first crash that it is blamed for, in milliseconds. */
+    fun quarantinedParts(sinceMillisByPart: Map<String, Long>, clock: Clock) {
+        val rows = sinceMillisByPart.map { (part, sinceMillis) ->
+            MultiGauge.Row.of(Tags.of("part", part)) { (clock.nowMillis() - sinceMillis) / MILLIS_PER_SECOND }
+        }
+        quarantinedParts.register(rows, true)
+    }
 
     /** Records the number of upstreams that state a request rate limit. */
     fun limitedUpstreams(count: Int) = limitedUpstreams.set(count)
@@ -84,6 +92,8 @@
     }
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+
         /** Range of the histograms: from well below the shortest latency objective to the longest usual timeout. */
         val MIN_EXPECTED: Duration = Duration.ofMillis(20)
         val MAX_EXPECTED: Duration = Duration.ofSeconds(15)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -16,6 +16,7 @@
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.MembershipSettings
 import buckthornbay.core.membership.StoreWatcherSelection
+import buckthornbay.core.membership.rendezvousOrder
 import buckthornbay.core.quarantine.PromptQuarantine
 import buckthornbay.core.quarantine.QuarantineChange
 import buckthornbay.core.registry.UpstreamRegistry
@@ -91,7 +92,9 @@
         transport,
         log,
     )
-    private val crashWatch = CrashWatch(PromptQuarantine(), connections, eventLoop, clock, log, metrics)
+    private val crashWatch = CrashWatch(PromptQuarantine(), connections, eventLoop, clock, log, metrics) { part ->
+        rendezvousOrder(part, membership.live().map { it.host }).first() == settings.host
+    }
     private val peers = PeerExchange(
         membership,
         SharedState(accounts, crashWatch, rateLimits),
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -6,11 +6,13 @@
 import buckthornbay.core.load.Choice
 import buckthornbay.core.load.SendOutcome
 import buckthornbay.core.load.TokenDemand
+import buckthornbay.core.quarantine.QuarantineVerdict
 import buckthornbay.core.request.AttemptLimits
 import buckthornbay.core.request.FailureAction
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestLifecycle
 import buckthornbay.core.request.RequestState
+import buckthornbay.core.request.RetryAllowance
 import buckthornbay.core.routing.RouteKind
 import buckthornbay.protocol.RequestEnd
 import buckthornbay.protocol.ServiceId
@@ -39,7 +41,7 @@
     private val lifecycle = RequestLifecycle(
         unrepeatable = !route.repeatable,
         resumable = route.kind == RouteKind.EVENT_STREAM && route.resumable,
-        budget = context.access.retryBudgets.allowanceFor(terms.service),
+        budget = RepetitionAllowance(context.access.retryBudgets.allowanceFor(terms.service)),
         limits = AttemptLimits(
             maxRuns = route.maxAttempts,
             maxSends = route.maxAttempts + EXTRA_UNPROCESSED_SENDS,
@@ -48,6 +50,12 @@
             refusalsUseRetryBudget = true,
         ),
     )
+
+    /** The [fleet]'s retry budget, for requests that are not suspected to crash the next upstream. */
+    private inner class RepetitionAllowance(private val fleet: RetryAllowance) : RetryAllowance by fleet {
+        override fun tryRetry(): Boolean = terms.demand?.let(context.access.crashWatch::isSuspected) != true && fleet.tryRetry()
+    }
+
     private val reply = CallerReply(context, terms, caller)
     private val progress = StreamProgress()
     private val streamTimes = StreamTimes()
@@ -56,6 +64,9 @@
     private var deadlineTimer: ScheduledFuture<*>? = null
     private var queueTimer: ScheduledFuture<*>? = null
     private var callerConnectionClosed = false
+
+    /** Whether the request is sent although it has a quarantined prompt part, to find out whether upstreams still crash. */
+    private var isTrial = false
     private var responseStarted = false
     private var ended = false
 
@@ -77,30 +88,29 @@
     fun start() {
         val leftMillis = terms.deadlineAtMillis - context.clock.nowMillis()
         deadlineTimer = context.eventLoop.schedule(::deadlineReached, leftMillis.coerceAtLeast(0), TimeUnit.MILLISECONDS)
-        if (!endIfQuarantined()) queue()
+        val verdict = terms.demand?.let(context.access.crashWatch::verdict) ?: QuarantineVerdict.Accepted
+        isTrial = verdict == QuarantineVerdict.Trial
+        if (verdict is QuarantineVerdict.Refused) refuseQuarantined(verdict.part, verdict.retryAfterMillis) else queue()
     }
 
     /**
-     * Ends the request if it has a quarantined prompt part and its response has not begun; returns whether it did.
+     * Ends the request if it has a quarantined prompt part and its response has not begun.
      *
      * An attempt in progress is cancelled, so that the upstream drops the request before it crashes.
      */
-    fun endIfQuarantined(): Boolean {
-        val part = terms.demand?.let(context.access.crashWatch::quarantinedPart) ?: return false
-        if (ended || responseStarted) return false
-        val reason = "upstreams crash under prompt part $part"
-        val sending = attempt
-        if (sending == null) {
-            context.dispatcher.withdraw(this)
-            val end = (lifecycle.refused() as FailureAction.End).end
-            endWith(end, reason, context.access.crashWatch.remainingMillis(part))
-        } else {
-            sending.cancel()
-            attempt = null
-            lifecycle.failed(FailureKind.CALLER_LEFT)
-            endWith(RequestEnd.FAILED, reason)
-        }
-        return true
+    fun endIfQuarantined() {
+        if (ended || responseStarted || isTrial) return
+        val part = terms.demand?.let(context.access.crashWatch::quarantinedPart) ?: return
+        val sending = attempt ?: return refuseQuarantined(part, retryAfterMillis = null)
+        sending.cancel()
+        attempt = null
+        lifecycle.failed(FailureKind.CALLER_LEFT)
+        endWith(RequestEnd.FAILED, "$CRASHING_PART $part")
+    }
+
+    private fun refuseQuarantined(part: String, retryAfterMillis: Long?) {
+        context.dispatcher.withdraw(this)
+        endWith((lifecycle.refused() as FailureAction.End).end, "$CRASHING_PART $part", retryAfterMillis)
     }
 
     override fun queueUntilMillis(): Long = if (triedUpstreams.isEmpty()) {
@@ -326,6 +336,9 @@
         const val EXTRA_UNPROCESSED_SENDS = 3
         const val FIRST_SERVER_ERROR = 500
 
+        /** Reason of an end, followed by the quarantined prompt part. */
+        const val CRASHING_PART = "upstreams crash under prompt part"
+
         /**
          * Longest idle time of a pooled connection that carries a non-repeatable request, in milliseconds. The upstream may be
          * about to close a connection that has been idle for longer.
