Divide a stated rate limit by demand in large fleets too

A host with half the demand of 67 hosts got a ninth of the limit at most, and none of it on most upstreams.

Hosts with a part of at least one request per second now use it; the few that hashing chooses get theirs in proportion to their demand, so that the sum stays the limit.

--- a/core/src/main/kotlin/buckthornbay/core/load/RateLimitedLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/RateLimitedLoad.kt
@@ -9,9 +9,10 @@
  *
  * Load: engines in need state a few requests per second for all hosts together, while the demand differs from host to host.
  *
- * In a small fleet the parts follow the demand at the hosts. If an even part would be less than [MIN_HOST_RATE], only as many
- * hosts use the upstream as can have that much, chosen by rendezvous hashing: a host may send one request at any time, and with
- * many hosts these would add up to a multiple of the limit.
+ * The parts follow the demand at the hosts. Each host that uses an upstream may send one request at any time, and in a large
+ * fleet these would add up to a multiple of the limit. There, a host uses the upstream only if its part is at least
+ * [MIN_HOST_RATE], or if it is among the first hosts by rendezvous hashing. These have a larger part each, so that the hosts with
+ * little demand get what they are owed together.
  *
  * @param self this host.
  * @param hosts live hosts of the fleet, with this one.
@@ -32,9 +33,12 @@
     public fun of(nowMillis: Long, upstream: String, limit: Double): Double {
         refreshHosts(nowMillis)
         val total = maxOf(limit, MIN_TOTAL_RATE)
+        val fraction = hostFraction()
+        val ownRate = total * fraction
+        if (liveHosts.size <= total * BURST_SECONDS + BURST_REQUESTS || ownRate >= MIN_HOST_RATE) return ownRate
         val users = (total / MIN_HOST_RATE).toInt().coerceAtLeast(1)
-        if (users >= liveHosts.size) return total * hostFraction()
-        return if (isUser(upstream, users)) total / users else 0.0
+        val relativeDemand = (fraction * liveHosts.size).coerceAtMost(MAX_RELATIVE_DEMAND)
+        return if (isUser(upstream, users)) total / users * relativeDemand else 0.0
     }
 
     private fun isUser(upstream: String, users: Int): Boolean {
@@ -60,8 +64,15 @@
         /** Minimum time between two readings of the live hosts, in milliseconds; a failed host is noticed in seconds. */
         const val HOSTS_REFRESH_MILLIS = 250L
 
-        /** Minimum rate of a host, in requests per second. */
-        const val MIN_HOST_RATE = 0.5
+        /** Requests that all hosts together may send at once: those of so many seconds of the limit, and a few more. */
+        const val BURST_SECONDS = 2.0
+        const val BURST_REQUESTS = 4.0
+
+        /** Minimum rate of a host in a large fleet, in requests per second. */
+        const val MIN_HOST_RATE = 1.0
+
+        /** Maximum demand of a host that counts, relative to an even part. */
+        const val MAX_RELATIVE_DEMAND = 2.0
 
         /** Minimum rate of all hosts, in requests per second; without a response they would not learn that a limit has ended. */
         const val MIN_TOTAL_RATE = 0.5
