--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -34,7 +34,7 @@
     /** Called after all events of one read from the socket. */
     fun eventBatchComplete(attempt: Attempt)
 
-    /** Called when the upstream ended the stream regularly; [trailingLines] holds blank lines after the last event. */
+    /** Called when the upstream ended the stream regularly; [trailingLines] are blank lines after the last event, if any. */
     fun streamEnded(attempt: Attempt, trailingLines: ByteBuf?)
 
     /** Called when a response that is not an event stream arrived completely. */
@@ -251,7 +251,7 @@
     private fun hasOwnEnd(): Boolean =
         response?.let { HttpUtil.isTransferEncodingChunked(it) || HttpUtil.isContentLengthSet(it) } == true
 
-    /** Records that the upstream survived the begin of this response. */
+    /** Records that the upstream survived the beginning of this response. */
     private fun recordProof() {
         if (proven) return
         proven = true
