Let hosts that reach no peer learn quarantined parts from the store

A host that is cut off from its peers, but reaches the platform and the engines, learned nothing by gossip: it had to lose three engines itself, and with several such hosts the fleet lost many. It now reads the stored parts after each crash that it sees. QuarantineStoreTest.aHostThatReachesNoPeerSendsAQuarantinedPartAgainAndAgain covers it; it was not run on the code before.

--- a/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
@@ -107,7 +107,7 @@
         }
     }
 
-    /** Quarantines [parts] that were quarantined before all hosts restarted. */
+    /** Quarantines [parts] that other hosts, or this one before a restart, have stored as quarantined. */
     public fun restore(nowMillis: Long, parts: List<String>): List<QuarantineChange> = parts
         .filter { it !in quarantined && proofOf(it) == null }
         .map { part ->
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -32,7 +32,7 @@
     /** Called when parts are quarantined. */
     var onQuarantined: () -> Unit = {}
 
-    /** Called with each change that this host has decided or learned of, except for those that were restored. */
+    /** Called with each change that this host has decided or learned of, except for parts from the store. */
     var onChange: (QuarantineChange) -> Unit = {}
 
     /** Called after this host recognized a crash, which peers should learn of at once. */
@@ -67,7 +67,7 @@
 
     fun merge(news: QuarantineNews) = apply(quarantine.merge(clock.nowMillis(), news))
 
-    /** Quarantines [parts], which were quarantined before all hosts restarted. */
+    /** Quarantines [parts], which other hosts have stored as quarantined. */
     fun restore(parts: List<String>) = report(quarantine.restore(clock.nowMillis(), parts))
 
     fun expire() = quarantine.expire(clock.nowMillis())
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -151,7 +151,10 @@
             Placement(settings.region),
             clock,
         )
-        crashWatch.onCrash = peers::announce
+        crashWatch.onCrash = {
+            peers.announce()
+            quarantineStore.readAfterCrash(crashWatch::restore)
+        }
         rateLimits.onChange = peers::announce
         crashWatch.onQuarantined = ::endQuarantinedRequests
         crashWatch.onChange = { change ->
@@ -165,7 +168,7 @@
             .forEach { listeners.listen(it, hostHandler) }
         scope.launch { runMaintenance() }
         scope.launch { watcher.start(scope) }
-        scope.launch { quarantineStore.restore(crashWatch::restore) }
+        scope.launch { quarantineStore.read(crashWatch::restore) }
         scope.launch { peers.start() }
         log.stateChange("event=started host=${settings.host} incarnation=$incarnation callers=${settings.listen.callers}")
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/QuarantineStore.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/QuarantineStore.kt
@@ -14,10 +14,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * The copy of the quarantine in the platform's store, from which hosts restore it after all of them have failed.
+ * The copy of the quarantine in the platform's store, for hosts that can't learn it from peers: after all hosts have failed, and
+ * while a host reaches none of them.
  *
- * Peers tell a host that starts what is quarantined; the store is needed only if none of them knows it any more. For each part,
- * the first hosts by rendezvous hashing write.
+ * For each part, the first hosts by rendezvous hashing write. Hosts read when they start and after they have seen a crash.
  *
  * @param kind kind of the store objects, each of which is named like a quarantined part.
  */
@@ -29,11 +29,24 @@
     private val log: DecisionLog,
     private val scope: CoroutineScope,
 ) {
-    /** Reads the stored parts and passes them to [onRestored], as soon as the store answers. */
-    fun restore(onRestored: (List<String>) -> Unit) {
+    private var reading = false
+
+    /** Reads the stored parts and passes them to [onRead], as soon as the store answers; does nothing while it is reading. */
+    fun read(onRead: (List<String>) -> Unit) {
+        if (reading) return
+        reading = true
         scope.launch {
             val stored = retry("list") { store.list(kind) }?.objects.orEmpty()
-            if (stored.isNotEmpty()) onRestored(stored.map { it.name })
+            reading = false
+            if (stored.isNotEmpty()) onRead(stored.map { it.name })
+        }
+    }
+
+    /** Reads the stored parts like [read], after the time in which hosts that saw the same crash write what they blame for it. */
+    fun readAfterCrash(onRead: (List<String>) -> Unit) {
+        scope.launch {
+            delay(WRITE_MILLIS.milliseconds)
+            read(onRead)
         }
     }
 
@@ -64,6 +77,9 @@
         /** Number of hosts that write a part; more than one, because a host may be cut off from the store. */
         const val WRITERS = 2
 
+        /** Time from a crash until the parts that it is blamed on are stored, in milliseconds; several responses of the store. */
+        const val WRITE_MILLIS = 300L
+
         /** Attempts of an operation; with the doubling backoff they span half a minute of an outage. */
         const val MAX_ATTEMPTS = 8
         const val FIRST_BACKOFF_MILLIS = 125L
--- a/router/src/test/kotlin/buckthornbay/router/gateway/QuarantineStoreTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/QuarantineStoreTest.kt
@@ -9,7 +9,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Tests that hosts which all restart at once still know the prompt parts under which upstreams crash. */
+/** Tests that hosts without peers know the prompt parts under which upstreams crash. */
 class QuarantineStoreTest {
     private fun GatewayFixture.ask(id: String) = call(
         request(
@@ -47,6 +47,28 @@
         }
     }
 
+    @Test
+    fun aHostThatReachesNoPeerSendsAQuarantinedPartAgainAndAgain() = runBlocking {
+        PlatformStoreServer().use { store ->
+            GatewayFixture(store).use { first ->
+                first.manifest()
+                GatewayFixture(store, "edge-2").use { alone ->
+                    resourceScope {
+                        gatewayProcess(first.settings, GatewayFixture.DEPLOYMENT)
+                        gatewayProcess(alone.settings, GatewayFixture.DEPLOYMENT)
+                        repeat(3) { number -> crashNextEngine(first, number) }
+                        GatewayFixture.awaitTrue("the part is stored") { store.names("quarantine") == setOf("bad0bad0") }
+                        crashNextEngine(alone, 7)
+                        val engine = alone.upstream("models-9", "models") { it.answer() }
+                        alone.awaitReady()
+                        GatewayFixture.awaitTrue("the part is known") { alone.ask("9").status == 503 }
+                        assertTrue(engine.requests.isEmpty())
+                    }
+                }
+            }
+        }
+    }
+
     private suspend fun crashNextEngine(host: GatewayFixture, number: Int) {
         lateinit var engine: ScriptedUpstream
         engine = host.upstream("models-$number", "models") { engine.close() }
