--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayMetricsTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayMetricsTest.kt
@@ -26,4 +26,11 @@
         metrics.quarantinedParts(emptyMap(), clock)
         assertTrue("91bd3f06" !in metrics.scrape())
     }
+
+    @Test
+    fun metricsOfLimitsHaveOtherNamesThanDocumented() {
+        val metrics = GatewayMetrics()
+        metrics.limitedUpstreams(2)
+        assertTrue("buckthornbay_limited_upstreams 2.0" in metrics.scrape().lines(), metrics.scrape())
+    }
 }
