--- a/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
@@ -277,7 +277,7 @@
     public val trialMillis: Long = 10_000,
     public val relayMillis: Long = 5_000,
     public val maxRelayedCrashes: Int = 32,
-    public val maxRelayedSuspects: Int = 512,
+    public val maxRelayedSuspects: Int = 256,
     public val maxCrashes: Int = 256,
     public val maxQuarantined: Int = 256,
     public val maxRecentProofs: Int = 4_096,
