Pass on stated rate limits only while they are new

Every gossip message repeated up to 32 limits for as long as they held, some 17 KB a second of each host where the budget for control is 4 KB (computed from the format). All hosts learn a change within two seconds, and a host that starts later from the first response.

--- a/core/src/main/kotlin/buckthornbay/core/load/StatedRateLimits.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/StatedRateLimits.kt
@@ -43,9 +43,9 @@
     public fun record(nowMillis: Long, upstream: String, perSecond: Double?, id: String): RateLimitChange? =
         adopt(nowMillis, upstream, Statement(id, perSecond, nowMillis, nowMillis))
 
-    /** Returns what a peer needs to know: limits in force, the latest first, and those that ended recently. */
+    /** Returns what a peer needs to know: recent changes, the latest first. Later hosts learn limits from responses. */
     public fun news(nowMillis: Long): List<RateLimitNews> = statements.entries
-        .filter { (_, it) -> it.perSecond != null || nowMillis - it.changedAtMillis <= settings.relayMillis }
+        .filter { (_, it) -> nowMillis - it.changedAtMillis <= settings.relayMillis }
         .sortedByDescending { (_, it) -> it.changedAtMillis }
         .take(settings.maxNews)
         .map { (upstream, it) -> RateLimitNews(upstream, it.perSecond, it.id, nowMillis - it.atMillis) }
@@ -81,8 +81,7 @@
 /**
  * Constants of [StatedRateLimits].
  *
- * @property relayMillis how long the end of a limit is passed on to peers, in milliseconds; gossip reaches all hosts within two
- * seconds.
+ * @property relayMillis how long a change is passed on to peers, in milliseconds; gossip reaches all hosts within two seconds.
  * @property maxNews maximum number of upstreams in a message, which bounds its size.
  * @property reorderMillis time within which responses of one upstream may arrive out of order at different hosts, in
  * milliseconds: several times the latency between regions.
--- a/core/src/test/kotlin/buckthornbay/core/load/RateLimitTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/RateLimitTest.kt
@@ -118,6 +118,16 @@
         assertNull(third.limitOf("engine"), "an older statement must not replace the end of the limit")
     }
 
+    @Test
+    fun aLimitThatDoesNotChangeIsRepeatedInEveryMessage() {
+        limits.record(1_000, "engine", 4.0, "a")
+        assertEquals(1, limits.news(2_000).size)
+        limits.record(20_000, "engine", 4.0, "b")
+        assertEquals(emptyList(), limits.news(20_100))
+        limits.record(21_000, "engine", 3.0, "c")
+        assertEquals(1, limits.news(21_100).size)
+    }
+
     @Test
     fun upstreamsThatLeftAreForgotten() {
         limits.record(1_000, "engine@1", 4.0, "a")
