Don't blame prompt parts for engines that crash together by chance

Cause: crashes counted as successive if a request was sent between them, however short that was. When engines end one after the other within 100 ms, a request that breaks at one is sent to the next, and no answer can come in between.

Crashes within 250 ms now count as one round, against a part only if its requests were unanswered at half or more of these engines; a part that is known to have been answered before needs five rounds.

--- a/core/src/main/kotlin/buckthornbay/core/load/RateLimitedLoad.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/RateLimitedLoad.kt
@@ -7,7 +7,7 @@
 /**
  * The part of an upstream's request rate limit that one host may use.
  *
- * Load: engines in need state a few requests per second for all hosts together, while the demand differs from host to host.
+ * Load: overloaded engines state a few requests per second for all hosts together; the demand differs from host to host.
  *
  * The parts follow the demand at the hosts. Each host that uses an upstream may send one request at any time, and in a large
  * fleet these would add up to a multiple of the limit. There, a host uses the upstream only if its part is at least
--- a/core/src/main/kotlin/buckthornbay/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/CrashEvidence.kt
@@ -47,21 +47,24 @@
 /**
  * Returns the parts that explain [crashes], the most frequent first.
  *
- * A part is blamed for at least [minRounds] crashes, each of which ended a request with the part that was sent after the
- * previous one, while none of its requests has been answered since the first. Upstreams that crash at the same time for another
- * reason thus count once, whatever they were processing. A crash that one part explains does not count against the other parts
- * that were involved in it. Of parts that explain the same crashes, one that was never answered is blamed first, then the most
- * specific one.
+ * Crashes within [JOINT_CRASH_MILLIS] count as one round: upstreams that crash together probably have another common reason. A
+ * round speaks against a part if requests with it were unanswered at half or more of the upstreams, one of them was sent after
+ * the previous round, and none has been answered since the first one. A crash that one part explains does not count against the
+ * other parts that were involved in it. Of parts that explain the same crashes, one that was never answered is blamed first, then
+ * the most specific one.
  *
+ * @param minRounds number of rounds for which a part is blamed, by part.
  * @param answeredAtMillis time at which a request with a part was last answered, in milliseconds; null if it never was.
  */
-internal fun blame(crashes: Collection<Crash>, minRounds: Int, answeredAtMillis: (String) -> Long?): List<Blame> {
+internal fun blame(crashes: Collection<Crash>, minRounds: (String) -> Int, answeredAtMillis: (String) -> Long?): List<Blame> {
     val blamed = ArrayList<Blame>()
     var unexplained = crashes.sortedBy { it.atMillis }
-    while (unexplained.size >= minRounds) {
-        val parts = unexplained.flatMap { it.suspects }.groupingBy { it.part }.eachCount().filterValues { it >= minRounds }.keys
-        val next = parts.mapNotNull { blameOf(it, unexplained, answeredAtMillis(it)) }
-            .filter { it.rounds >= minRounds }
+    while (unexplained.isNotEmpty()) {
+        val rounds = roundsOf(unexplained)
+        val crashesByPart = unexplained.flatMap { it.suspects }.groupingBy { it.part }.eachCount()
+        val parts = crashesByPart.filter { (part, count) -> count >= minRounds(part) }.keys
+        val next = parts.mapNotNull { blameOf(it, rounds, answeredAtMillis(it)) }
+            .filter { it.rounds >= minRounds(it.part) }
             .maxWithOrNull(compareBy({ it.rounds }, { answeredAtMillis(it.part) == null }, { it.position }, { it.part })) ?: break
         blamed += next
         unexplained = unexplained.filter { it.suspect(next.part) == null }
@@ -69,19 +72,34 @@
     return blamed
 }
 
-/** Returns what speaks against [part], given [crashes] in order of time; null if nothing does. */
-internal fun blameOf(part: String, crashes: List<Crash>, answeredAtMillis: Long?): Blame? {
-    var rounds = 0
+/** Groups [crashes], which are in order of time, into rounds. */
+internal fun roundsOf(crashes: List<Crash>): List<List<Crash>> {
+    val rounds = ArrayList<MutableList<Crash>>()
+    for (crash in crashes) {
+        val current = rounds.lastOrNull()?.takeIf { crash.atMillis - it.first().atMillis < JOINT_CRASH_MILLIS }
+        if (current == null) rounds += mutableListOf(crash) else current += crash
+    }
+    return rounds
+}
+
+/** Returns what speaks against [part], given [rounds] in order of time; null if nothing does. */
+internal fun blameOf(part: String, rounds: List<List<Crash>>, answeredAtMillis: Long?): Blame? {
+    var count = 0
     var position = 0
     var first: Crash? = null
     var lastAtMillis = answeredAtMillis ?: Long.MIN_VALUE
-    for (crash in crashes) {
-        val suspect = crash.suspect(part) ?: continue
-        if (crash.atMillis <= lastAtMillis || (first != null && suspect.sentAtMillis <= lastAtMillis)) continue
-        if (first == null) first = crash
-        rounds++
-        position = suspect.position
-        lastAtMillis = crash.atMillis
+    for (round in rounds) {
+        val involved = round.filter { it.suspect(part) != null && it.atMillis > lastAtMillis }
+        if (involved.isEmpty() || involved.size * 2 < round.size) continue
+        val suspects = involved.mapNotNull { it.suspect(part) }
+        if (first != null && suspects.none { it.sentAtMillis > lastAtMillis }) continue
+        if (first == null) first = involved.first()
+        count++
+        position = suspects.last().position
+        lastAtMillis = involved.last().atMillis
     }
-    return first?.let { Blame(part, position, rounds, it) }
+    return first?.let { Blame(part, position, count, it) }
 }
+
+/** Time within which crashes count as one round, in milliseconds; a power failure takes effect within it, and so does its notice. */
+private const val JOINT_CRASH_MILLIS = 250L
--- a/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
@@ -101,9 +101,9 @@
     /** Returns whether a failed request with [demand] must not be repeated, because it may crash the next upstream as well. */
     public fun isSuspected(demand: TokenDemand): Boolean {
         if (crashes.isEmpty()) return quarantinedPart(demand) != null
-        val byTime = crashes.values.sortedBy { it.atMillis }
+        val rounds = roundsOf(crashes.values.sortedBy { it.atMillis })
         return partsOf(demand).any { part ->
-            part in quarantined || (blameOf(part, byTime, proofOf(part)?.atMillis)?.rounds ?: 0) >= settings.minRounds - 1
+            part in quarantined || (blameOf(part, rounds, proofOf(part)?.atMillis)?.rounds ?: 0) >= minRounds(part) - 1
         }
     }
 
@@ -161,6 +161,8 @@
         return nowMillis >= entry.heldUntilMillis && (trialAtMillis == null || nowMillis - trialAtMillis >= settings.trialMillis)
     }
 
+    private fun minRounds(part: String) = if (proofOf(part) == null) settings.minRounds else settings.minRoundsAfterAnswer
+
     private fun isRelevant(part: String) = part in quarantined || crashes.values.any { it.suspect(part) != null }
 
     private fun proofOf(part: String): Proof? = proofs[part] ?: recentProofs[part]
@@ -202,7 +204,7 @@
     private fun update(nowMillis: Long): List<QuarantineChange> {
         renewAfterFailedTrials(nowMillis)
         val changes = ArrayList(releaseProven())
-        val blamed = blame(crashes.values, settings.minRounds) { proofOf(it)?.atMillis }
+        val blamed = blame(crashes.values, ::minRounds) { proofOf(it)?.atMillis }
         for (blame in blamed.filter { it.part !in quarantined && quarantined.size < settings.maxQuarantined }) {
             val heldUntilMillis = nowMillis + settings.holdMillis
             quarantined[blame.part] = Entry(blame.first.upstream, blame.first.atMillis, heldUntilMillis, settings.holdMillis)
@@ -258,6 +260,8 @@
  *
  * @property minRounds number of successive crashes for which a part is quarantined: one may be chance, two the chance of a
  * request and its repetition.
+ * @property minRoundsAfterAnswer the same for a part that is known to have been answered before: it probably was in progress at
+ * the crashes by chance, and blocking it wrongly concerns many callers.
  * @property evidenceMillis how long a crash is kept as evidence, in milliseconds.
  * @property holdMillis time until the first trial of a quarantined part, in milliseconds; each trial may cost an upstream.
  * @property maxHoldMillis upper bound of the hold time, which doubles with each failed trial, in milliseconds.
@@ -271,6 +275,7 @@
  */
 public data class QuarantineSettings(
     public val minRounds: Int = 3,
+    public val minRoundsAfterAnswer: Int = 5,
     public val evidenceMillis: Long = 300_000,
     public val holdMillis: Long = 120_000,
     public val maxHoldMillis: Long = 3_600_000,
