--- a/core/src/main/kotlin/buckthornbay/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/CrashEvidence.kt
@@ -101,5 +101,5 @@
     return first?.let { Blame(part, position, count, it) }
 }
 
-/** Time within which crashes count as one round, in milliseconds; a power failure takes effect within it, and so does its notice. */
+/** Time within which crashes count as one round, in milliseconds; hosts notice what a power failure ended within it. */
 private const val JOINT_CRASH_MILLIS = 250L
--- a/core/src/test/kotlin/buckthornbay/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/quarantine/PromptQuarantineTest.kt
@@ -59,7 +59,7 @@
         assertTrue(quarantine.sinceMillisByPart.isEmpty())
     }
 
-    /** Engines that lose power one after the other within a tenth of a second, again and again, blamed the parts of all requests. */
+    /** Engines that end one after the other within a fraction of a second, again and again, whatever they process. */
     @Test
     fun engineCrashesByChanceBlameWhatWasInProgress() {
         quarantine.recordAnswered(nowMillis, "request", demand("system"))
