Find a removed upstream behind a silent watch within the time limit

Callers of a removed upstream would wait or fail as long.

Cause: a watch that hangs is given up after its long-poll time and the response timeout, 4.3 s in the test and 5 s otherwise. Then the registration that is missing is used on for the grace period of 2 s, because it may only have lapsed in the outage. The test passes as long as the watch of the configuration hangs too, since the second wait starts after the first. When that watch sees its change just before the store goes silent, the second wait starts at once and the whole time counts.

Evidence: aRemovedUpstreamIsUsedOnBehindASilentWatch makes the store silent for registrations only.

Registrations are now watched for 2 s at a time, so that the removal is found 3 s after its watch began to hang and takes effect 2.2 s later: 5.3 s in all, where 5.5 s are allowed. It costs one more call of the store in four seconds for each watching host.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -78,6 +78,9 @@
         /** Whether this host has received any object of this kind. */
         val isKnown: Boolean
 
+        /** Long-poll time of a watch call, in milliseconds; a hung call ends this time and the response timeout after its start. */
+        val watchMillis: Long
+
         /** Delay after a change before the next watch call, in milliseconds, in which further changes accumulate. */
         val batchMillis: Long
 
@@ -110,7 +113,7 @@
     }
 
     private suspend fun watch(watched: WatchedCollection, revision: Long): Result<Long, StoreError> =
-        store.watch(watched.kind, revision, WATCH_MILLIS).map { changes ->
+        store.watch(watched.kind, revision, watched.watchMillis).map { changes ->
             recordResponse()
             watched.onChanges(changes)
             if (changes.changes.isNotEmpty()) delay(watched.batchMillis.milliseconds)
@@ -144,6 +147,7 @@
     private inner class WatchedConfiguration : WatchedCollection {
         override val kind = format.configurationKind
         override val isKnown: Boolean get() = fleetView.configurationVersion > 0
+        override val watchMillis = CONFIGURATION_WATCH_MILLIS
         override val batchMillis = 0L
 
         override fun onSnapshot(snapshot: CollectionSnapshot) = snapshot.objects.filter {
@@ -160,6 +164,7 @@
     private inner class WatchedRegistrations : WatchedCollection {
         override val kind = format.registrationsKind
         override val isKnown: Boolean get() = fleetView.registryLoaded
+        override val watchMillis = REGISTRATIONS_WATCH_MILLIS
         override val batchMillis = BATCH_MILLIS
 
         override fun onSnapshot(snapshot: CollectionSnapshot) =
@@ -172,11 +177,17 @@
         const val STORE = "store"
 
         /**
-         * Long-poll time of a watch call, in milliseconds; long because the store charges for each call. With the time for the
-         * response, a watch that was lost in an outage still ends early enough for a change to be applied within 5.5 s after
-         * the end of the outage.
+         * Long-poll time of the configuration's watch, in milliseconds; long because the store charges for each call. With the
+         * time for the response, a watch that was lost in an outage still ends early enough for a change to be applied within
+         * 5.5 s after the end of the outage.
+         */
+        const val CONFIGURATION_WATCH_MILLIS = 4_000L
+
+        /**
+         * The same for registrations, in milliseconds; shorter, because an upstream whose registration is gone stays in use for
+         * the grace period after the store has recovered.
          */
-        const val WATCH_MILLIS = 4_000L
+        const val REGISTRATIONS_WATCH_MILLIS = 2_000L
 
         /** Batching delay after changes of registrations, in milliseconds; upstreams that start together cost one call. */
         const val BATCH_MILLIS = 250L
--- a/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
@@ -17,6 +17,9 @@
          * (2,500 ms) to apply the change.
          */
         const val AFTER_OUTAGE_MILLIS = 5_500L
+
+        /** Time after the last change of a registration until the gateway waits for the next one again. */
+        const val WATCH_RESTART_MILLIS = 400L
     }
 
     private fun GatewayFixture.read(id: String = "id") = call(request("/read/x", id))
@@ -110,6 +113,20 @@
         assertEquals(before, upstream.requests.size)
     }
 
+    /** The watch of the configuration may answer at once while that of the registrations hangs until it times out. */
+    @Test
+    fun aRemovedUpstreamIsUsedOnBehindASilentWatch() = GatewayFixture.run {
+        upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        delay(WATCH_RESTART_MILLIS)
+        store.faults.silentKinds = setOf("servers")
+        delay(50)
+        store.remove("servers", "plain-1")
+        store.compact()
+        store.faults.silentKinds = emptySet()
+        GatewayFixture.awaitTrue("the removed upstream is not used", limitMillis = AFTER_OUTAGE_MILLIS) { read().status == 503 }
+    }
+
     @Test
     fun aSilentWatchTimesOutWhileRequestsAreServed() = GatewayFixture.run {
         upstream("plain-1", "plain") { it.answer() }
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
@@ -37,6 +37,10 @@
     @Volatile
     public var silent: Boolean = false
 
+    /** Kinds of objects for which it never responds, not even to watches that are already waiting. */
+    @Volatile
+    public var silentKinds: Set<String> = emptySet()
+
     /** Applies writes but never responds to them. */
     @Volatile
     public var losesReplies: Boolean = false
@@ -118,7 +122,7 @@
 
     private suspend fun io.ktor.server.routing.RoutingContext.withFaults(answer: suspend ApplicationCall.() -> Unit) {
         calls++
-        if (faults.silent) awaitCancellation()
+        if (isSilent(call)) awaitCancellation()
         if (faults.busy) return call.respond(HttpStatusCode.ServiceUnavailable)
         delay(faults.delayMillis.milliseconds)
         call.answer()
@@ -144,7 +148,7 @@
         val since = checkNotNull(parameter("Watch")?.toLongOrNull()) { "the Watch parameter must be a revision number" }
         val endNanos = System.nanoTime() + (parameter("WaitMs")?.toLong() ?: 0) * NANOS_PER_MILLI
         while (true) {
-            if (faults.silent) awaitCancellation()
+            if (isSilent(this)) awaitCancellation()
             val (gone, events, now) = synchronized(this@PlatformStoreServer) {
                 Triple(since < oldestRevision, history.filter { it.kind == kind() && it.revision > since }, revision)
             }
@@ -201,6 +205,8 @@
 
     private suspend fun ApplicationCall.respondJson(body: JsonObject) = respondText(body.toString(), ContentType.Application.Json)
 
+    private fun isSilent(call: ApplicationCall): Boolean = faults.silent || call.kind() in faults.silentKinds
+
     private fun ApplicationCall.kind(): String = checkNotNull(parameters["kind"]) { "the path has no object kind" }
 
     private fun ApplicationCall.parameter(name: String): String? = request.queryParameters[name]
