Check whether an engine crashed when a response ends with its connection

What callers saw, on engines whose responses have neither a length nor chunks: a prompt part that crashes engines between two events was never quarantined, and a sound part whose streams are short was blamed for the crashes of others and refused.

Cause: such a response ends in the same way whether it is complete or its engine crashed. The end was taken neither as a sign of a crash nor as proof that the part crashes no engine.

Such an end now starts the same check as a lost connection: if the engine accepts no new one, it has crashed and the request is a suspect; otherwise the response is proof.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -171,7 +171,7 @@
 
     override fun broken(reason: String) {
         if (!ended && !proven) {
-            listener.demand?.let { context.access.crashWatch.connectionLost(upstream.entry, it, sentAtMillis) }
+            listener.demand?.let { context.access.crashWatch.connectionLost(upstream.entry, id, it, sentAtMillis) }
         }
         failBroken(reason)
     }
@@ -206,7 +206,7 @@
         if (framing?.endsWithinEvent == true) return broken("the stream ended within an event")
         if (!streaming) startStream()
         if (ended) return
-        if (hasOwnEnd()) recordProof()
+        recordEnd()
         val trailingLines = framing?.takeRest()
         end(SendOutcome.ANSWERED)
         listener.streamEnded(this, trailingLines)
@@ -228,7 +228,7 @@
             else -> {
                 val answer = BufferedResponse(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER)
                 body = null
-                if (hasOwnEnd() && status.code() < FIRST_SERVER_ERROR) recordProof()
+                if (status.code() < FIRST_SERVER_ERROR) recordEnd()
                 end(if (status.code() >= FIRST_SERVER_ERROR) SendOutcome.FAILED else SendOutcome.ANSWERED)
                 listener.responseReceived(this, answer)
             }
@@ -251,6 +251,13 @@
     private fun hasOwnEnd(): Boolean =
         response?.let { HttpUtil.isTransferEncodingChunked(it) || HttpUtil.isContentLengthSet(it) } == true
 
+    /** Records that the response is complete, which proves that the upstream survived it only if it has an end of its own. */
+    private fun recordEnd() {
+        if (proven) return
+        if (hasOwnEnd()) return recordProof()
+        listener.demand?.let { context.access.crashWatch.endedWithConnection(upstream.entry, id, it, sentAtMillis) }
+    }
+
     /** Records that the upstream survived the beginning of this response. */
     private fun recordProof() {
         if (proven) return
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -26,8 +26,18 @@
     private val metrics: GatewayMetrics,
     private val isTrialHost: (part: String) -> Boolean,
 ) {
-    /** Requests that were lost at an upstream while a check of the upstream is pending. */
-    private val lostSuspects = HashMap<UpstreamEntry, MutableList<Suspect>>()
+    /**
+     * A request whose connection the upstream closed.
+     *
+     * @property answered whether the response was complete if the upstream didn't crash.
+     */
+    private class LostRequest(val id: String, val demand: TokenDemand, val sentAtMillis: Long, val answered: Boolean) {
+        val suspects: List<Suspect>
+            get() = demand.sharedParts.mapIndexed { position, part -> Suspect(part.id, position, sentAtMillis) }
+    }
+
+    /** Requests whose connection an upstream closed while a check of the upstream is pending. */
+    private val lostRequests = HashMap<UpstreamEntry, MutableList<LostRequest>>()
 
     /** Called when parts are quarantined. */
     var onQuarantined: () -> Unit = {}
@@ -47,18 +57,13 @@
     /** Returns whether a failed request with [demand] must not be repeated, because it may crash the next upstream as well. */
     fun isSuspected(demand: TokenDemand): Boolean = quarantine.isSuspected(demand)
 
-    /** Records that [upstream] closed the connection of a request with [demand], sent at [sentAtMillis], before it answered. */
-    fun connectionLost(upstream: UpstreamEntry, demand: TokenDemand, sentAtMillis: Long) {
-        val suspects = demand.sharedParts.mapIndexed { position, part -> Suspect(part.id, position, sentAtMillis) }
-        if (suspects.isEmpty()) return
-        val pending = lostSuspects[upstream]
-        if (pending != null) {
-            pending += suspects
-            return
-        }
-        lostSuspects[upstream] = suspects.toMutableList()
-        eventLoop.schedule({ check(upstream) }, CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS)
-    }
+    /** Records that [upstream] closed the connection of request [id] with [demand], sent at [sentAtMillis], before it answered. */
+    fun connectionLost(upstream: UpstreamEntry, id: String, demand: TokenDemand, sentAtMillis: Long) =
+        checkAfterClose(upstream, LostRequest(id, demand, sentAtMillis, answered = false))
+
+    /** Records that the response to a request ended with its connection, as that of a crashed upstream does too. */
+    fun endedWithConnection(upstream: UpstreamEntry, id: String, demand: TokenDemand, sentAtMillis: Long) =
+        checkAfterClose(upstream, LostRequest(id, demand, sentAtMillis, answered = true))
 
     /** Records that request [id] with [demand] is being answered. */
     fun answered(id: String, demand: TokenDemand) = apply(quarantine.recordAnswered(clock.nowMillis(), id, demand))
@@ -72,9 +77,24 @@
 
     fun expire() = quarantine.expire(clock.nowMillis())
 
+    private fun checkAfterClose(upstream: UpstreamEntry, request: LostRequest) {
+        if (request.demand.sharedParts.isEmpty()) return
+        val pending = lostRequests[upstream]
+        if (pending != null) {
+            pending += request
+            return
+        }
+        lostRequests[upstream] = mutableListOf(request)
+        eventLoop.schedule({ check(upstream) }, CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     private fun check(upstream: UpstreamEntry) = connections.checkReachable(upstream.address) { reachable ->
-        val suspects = lostSuspects.remove(upstream).orEmpty()
-        if (!reachable) recordCrash(upstream, suspects)
+        val requests = lostRequests.remove(upstream).orEmpty()
+        if (reachable) {
+            requests.filter { it.answered }.forEach { answered(it.id, it.demand) }
+        } else {
+            recordCrash(upstream, requests.flatMap { it.suspects })
+        }
     }
 
     private fun recordCrash(upstream: UpstreamEntry, suspects: List<Suspect>) {
