Don't take a rejected request as proof that its prompt part crashes no engine

What callers saw: a part that crashes engines was sent on, because one of its requests had been rejected with 400 in between.

Cause: any response below 500 counted as proof. An engine that rejects a request has not begun to answer it, and callers choose what else a request with the part holds. Each such response also released a part that was quarantined already.

Evidence: aRejectedRequestProvesThatItsPartCrashesNoEngine failed on: the part was sent to the next engine (200 instead of 503).

Only successful responses count now.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -228,7 +228,7 @@
             else -> {
                 val answer = BufferedResponse(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER)
                 body = null
-                if (status.code() < FIRST_SERVER_ERROR) recordEnd()
+                if (status.code() in SUCCESS) recordEnd()
                 end(if (status.code() >= FIRST_SERVER_ERROR) SendOutcome.FAILED else SendOutcome.ANSWERED)
                 listener.responseReceived(this, answer)
             }
@@ -287,6 +287,7 @@
     private companion object {
         const val EVENT_STREAM = "text/event-stream"
         const val MISDIRECTED_REQUEST = 421
+        val SUCCESS = 200..299
         const val FIRST_ERROR = 400
         const val FIRST_SERVER_ERROR = 500
         const val MAX_BODY_COMPONENTS = 4_096
--- a/router/src/test/kotlin/buckthornbay/router/gateway/CrashWatchTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/CrashWatchTest.kt
@@ -52,6 +52,17 @@
         assertEquals(200, askWithCrashingPart("9").status)
     }
 
+    /** An engine that rejects a request has not begun to answer it. */
+    @Test
+    fun aRejectedRequestProvesThatItsPartCrashesNoEngine() = GatewayFixture.run {
+        repeat(2) { number -> crashNextEngine(number) }
+        assertEquals(400, answerOnce { answer("400 Bad Request") })
+        crashNextEngine(3)
+        val engine = startSoundEngine()
+        assertEquals(503, askWithCrashingPart("9").status)
+        assertTrue(engine.requests.isEmpty())
+    }
+
     private companion object {
         /** Time in which the gateway checks that an engine still accepts connections, in milliseconds. */
         const val CHECK_MILLIS = 200L
