Refuse at once what stated request rate limits leave no room for

What callers saw: while all upstreams of a service state request rate limits, most requests waited for three tenths of their objective and were refused then, although the hosts knew how few they may send.

Cause: admission counts with the throughput that the operator states, and the queue with the room that upstreams have now. Nothing compared the length of the queue with the rate at which a host may send.

Evidence: requestsBeyondAStatedRateLimitWaitInVain failed before: with 8 requests per second, a queueing time of 240 ms and ten requests, none was refused on arrival.

After each arrival a host now refuses the requests that it can't send in time. Workspaces take turns, so that the latest requests of the longest queues go first and a workspace with a single request keeps its place. Requests that were sent before stay queued.

--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -103,6 +103,7 @@
         request.queueEntry = waiting
         queue.add(waiting)
         place(request.service)
+        refuseUnservable(request.service)
     }
 
     /** Removes [request] from its queue, if it is queued. */
@@ -131,6 +132,27 @@
         }
     }
 
+    /**
+     * Refuses new requests that would wait in vain, because all upstreams of [service] state request rate limits.
+     *
+     * Load: most requests of a service exceed what its upstreams take, for many seconds.
+     */
+    private fun refuseUnservable(service: ServiceId) {
+        val requestsPerSecond = statedRequestsPerSecond(service) ?: return
+        queueFor(service).unservable(clock.nowMillis(), requestsPerSecond).map { it.request }
+            .filter { it.triedUpstreams.isEmpty() }
+            .forEach { request ->
+                withdraw(request)
+                request.refuse("the upstreams' request rate limits leave no room in time")
+            }
+    }
+
+    /** Returns the rate at which this host may send to [service]; null if an upstream states no limit. */
+    private fun statedRequestsPerSecond(service: ServiceId): Double? {
+        val nowMillis = clock.nowMillis()
+        return candidates(service).sumOf { it.load.view(nowMillis).requestsPerSecond ?: return null }
+    }
+
     private fun placeOne(request: DispatchedRequest): Boolean {
         val nowMillis = clock.nowMillis()
         val workspace = request.workspaceId
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -78,6 +78,22 @@
         }
     }
 
+    /**
+     * Returns the requests that can't be placed in time if [placementsPerSecond] requests can be placed, starting now.
+     *
+     * Workspaces take turns within a rank, so that the latest requests of those with the longest queues are returned.
+     */
+    public fun unservable(nowMillis: Long, placementsPerSecond: Double): List<QueuedRequest<T>> {
+        if (placementsPerSecond <= 0.0) return byWorkspace.values.flatten()
+        var servable = 0
+        return inTurns(nowMillis).filter { request ->
+            val placedAtMillis = nowMillis + servable * MILLIS_PER_SECOND / placementsPerSecond
+            val isTooLate = placedAtMillis > request.queueUntilMillis
+            if (!isTooLate) servable++
+            isTooLate
+        }
+    }
+
     /** Removes and returns all requests. */
     public fun removeAll(): List<QueuedRequest<T>> = byWorkspace.values.flatten().also {
         byWorkspace.clear()
@@ -92,9 +108,19 @@
         .sortedWith(compareBy({ it.request.rank }, { it.recentTokens }, { it.request.arrivedAtMillis }))
         .map { it.request }
 
+    private fun inTurns(nowMillis: Long): List<QueuedRequest<T>> = byWorkspace
+        .flatMap { (workspace, queue) ->
+            val recentTokens = workspace?.let { accounts.recentTokens(nowMillis, it) } ?: 0.0
+            queue.mapIndexed { turn, request -> turn to Ranked(request, recentTokens) }
+        }
+        .sortedWith(compareBy({ it.second.request.rank }, { it.first }, { it.second.recentTokens }))
+        .map { it.second.request }
+
     private class Ranked<T>(val request: QueuedRequest<T>, val recentTokens: Double)
 
     private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+
         /** Requests of a workspace offered per round; more than one, because the first may need an upstream that is full. */
         const val MAX_OFFERED_PER_WORKSPACE = 4
     }
--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
@@ -0,0 +1,88 @@
+package buckthornbay.core.admission
+
+import buckthornbay.core.Clock
+import buckthornbay.core.load.Candidate
+import buckthornbay.core.load.Choice
+import buckthornbay.core.load.Placement
+import buckthornbay.core.load.PlainLoad
+import buckthornbay.core.load.RateLimitedLoad
+import buckthornbay.core.load.TokenDemand
+import buckthornbay.core.load.UpstreamReliability
+import buckthornbay.protocol.RegionId
+import buckthornbay.protocol.ServiceId
+import buckthornbay.protocol.UpstreamId
+import buckthornbay.protocol.WorkspaceId
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class DispatcherTest {
+    private val service = ServiceId("models")
+    private val region = RegionId("region")
+    private val clock = Clock { nowMillis }
+    private var nowMillis = 0L
+    private var limit: Double? = null
+    private val sent = ArrayList<String>()
+    private val refused = ArrayList<String>()
+    private val startedWork = FleetAccounts(4_000.0)
+    private val upstream = Candidate(
+        UpstreamId("engine"),
+        region,
+        RateLimitedLoad(PlainLoad(slots = 64)) { limit },
+        UpstreamReliability(),
+        cache = null,
+    )
+    private val dispatcher =
+        Dispatcher({ listOf(upstream) }, startedWork, FleetBacklog(startedWork), Placement(region), clock)
+
+    private inner class TestRequest(override val id: String) : DispatchedRequest {
+        override val service: ServiceId = this@DispatcherTest.service
+        override val workspaceId = WorkspaceId("workspace")
+        override val demand: TokenDemand? = null
+        override val rank = WaitingRank.DUE
+        override val triedUpstreams: Set<UpstreamId> = emptySet()
+        override var queueEntry: QueuedRequest<DispatchedRequest>? = null
+        private val queuedAtMillis = nowMillis
+
+        override fun queueUntilMillis(): Long = queuedAtMillis + QUEUE_MILLIS
+
+        override fun mayWaitForBestUpstream(nowMillis: Long): Boolean = false
+
+        override fun send(choice: Choice) {
+            choice.upstream.load.sent(nowMillis, id, choice.cost)
+            sent += id
+        }
+
+        override fun refuse(reason: String) {
+            refused += id
+        }
+    }
+
+    private fun submit(numbers: IntRange) = numbers.forEach { dispatcher.submit(TestRequest("$it")) }
+
+    /** An engine that states few requests per second can't take a burst before the requests time out. */
+    @Test
+    fun requestsBeyondAStatedRateLimitWaitInVain() {
+        limit = 8.0
+        submit(1..10)
+        assertEquals(emptyList(), sent)
+        assertEquals((3..10).map { "$it" }, refused)
+        nowMillis = QUEUE_MILLIS / 2
+        dispatcher.placeAll()
+        nowMillis = QUEUE_MILLIS
+        dispatcher.placeAll()
+        assertEquals(listOf("1"), sent)
+    }
+
+    @Test
+    fun requestsForUpstreamsWithoutAStatedRateLimitAreRefusedEarly() {
+        submit(1..100)
+        assertEquals(64, sent.size)
+        assertEquals(emptyList(), refused)
+        assertEquals(36, dispatcher.waitingCount)
+    }
+
+    private companion object {
+        /** Time that a request may stay queued, in milliseconds: three tenths of an objective of 800 ms. */
+        const val QUEUE_MILLIS = 240L
+    }
+}
--- a/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
@@ -57,4 +57,24 @@
         assertFalse(queue.remove(waiting))
         assertTrue(queue.size == 0)
     }
+
+    /** Upstreams that state few requests per second can't serve a long queue before its requests time out. */
+    @Test
+    fun requestsThatCannotBePlacedInTimeStayQueued() {
+        val requests = (1..4).map { waiting("a$it", first) } + waiting("b1", second) + waiting("b2", second, WaitingRank.BEYOND_SHARE)
+        requests.forEach(queue::add)
+        accounts.charge(0, second, 10_000.0)
+        assertEquals(listOf("a4", "b2"), queue.unservable(0, placementsPerSecond = 6.0).map { it.id })
+        assertEquals(requests.map { it.id }, queue.unservable(0, placementsPerSecond = 0.0).map { it.id })
+        assertEquals(emptyList(), queue.unservable(0, placementsPerSecond = 100.0))
+    }
+
+    /** A workspace with a long queue must not take the turns of others. */
+    @Test
+    fun theOnlyRequestOfAWorkspaceIsRefusedBehindTheQueueOfAnother() {
+        repeat(10) { queue.add(waiting("a$it", first)) }
+        queue.add(waiting("b", second))
+        accounts.charge(0, second, 10_000.0)
+        assertFalse("b" in queue.unservable(0, placementsPerSecond = 2.0).map { it.id })
+    }
 }
