Relay all changes of stated rate limits, and none that are small

Hosts could miss a limit, and an upstream that states another figure in each response would make every host announce each of them.

Cause: a message holds the 32 latest changes.

Evidence: someChangesOfLimitsAreNeverRelayed (100 changes, four messages) and smallChangesOfALimitAreAnnouncedAgainAndAgain.

The changes that were relayed least often now go first, and a change by less than a tenth is adopted but not announced.

--- a/core/src/main/kotlin/buckthornbay/core/load/StatedRateLimits.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/StatedRateLimits.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlin.math.abs
 
 /**
  * What a host tells its peers about the limit that an upstream states.
@@ -29,7 +30,14 @@
  * whichever host it arrived.
  */
 public class StatedRateLimits(private val settings: StatedRateLimitSettings = StatedRateLimitSettings()) {
-    private class Statement(val id: String, val perSecond: Double?, val atMillis: Long, val changedAtMillis: Long)
+    /** A statement and the number of messages that have passed it on. */
+    private class Statement(
+        val id: String,
+        val perSecond: Double?,
+        val atMillis: Long,
+        val changedAtMillis: Long,
+        var relayCount: Int = 0,
+    )
 
     private val statements = LinkedHashMap<String, Statement>()
 
@@ -43,11 +51,12 @@
     public fun record(nowMillis: Long, upstream: String, perSecond: Double?, id: String): RateLimitChange? =
         adopt(nowMillis, upstream, Statement(id, perSecond, nowMillis, nowMillis))
 
-    /** Returns what a peer needs to know: recent changes, the latest first. Later hosts learn limits from responses. */
+    /** Returns what a peer needs to know: recent changes, the least often relayed first. Later hosts learn limits from responses. */
     public fun news(nowMillis: Long): List<RateLimitNews> = statements.entries
         .filter { (_, it) -> nowMillis - it.changedAtMillis <= settings.relayMillis }
-        .sortedByDescending { (_, it) -> it.changedAtMillis }
+        .sortedBy { (_, it) -> it.relayCount }
         .take(settings.maxNews)
+        .onEach { (_, it) -> it.relayCount++ }
         .map { (upstream, it) -> RateLimitNews(upstream, it.perSecond, it.id, nowMillis - it.atMillis) }
 
     /** Merges the [news] of a peer and returns the changes. */
@@ -64,12 +73,19 @@
         val known = statements[upstream]
         if (known == null && statement.perSecond == null) return null
         if (known != null && !supersedes(statement, known)) return null
-        val changed = known?.perSecond != statement.perSecond
-        val changedAtMillis = if (changed || known == null) nowMillis else known.changedAtMillis
-        statements[upstream] = Statement(statement.id, statement.perSecond, statement.atMillis, changedAtMillis)
+        val changed = known == null || isChange(known.perSecond, statement.perSecond)
+        statements[upstream] = if (changed) {
+            Statement(statement.id, statement.perSecond, statement.atMillis, nowMillis)
+        } else {
+            Statement(statement.id, statement.perSecond, statement.atMillis, known.changedAtMillis, known.relayCount)
+        }
         return if (changed) RateLimitChange(upstream, statement.perSecond) else null
     }
 
+    /** Small changes are not passed on, because an upstream may state another figure in each response. */
+    private fun isChange(from: Double?, to: Double?): Boolean =
+        if (from == null || to == null) from != to else abs(to - from) > settings.minChange * from
+
     /** A response without a limit may have been sent before the one that stated it and have arrived later, at another host. */
     private fun supersedes(statement: Statement, known: Statement): Boolean {
         val endsLimit = statement.perSecond == null && known.perSecond != null
@@ -83,11 +99,13 @@
  *
  * @property relayMillis how long a change is passed on to peers, in milliseconds; gossip reaches all hosts within two seconds.
  * @property maxNews maximum number of upstreams in a message, which bounds its size.
+ * @property minChange minimum change of a limit that is passed on, as a part of it; other hosts learn smaller ones from responses.
  * @property reorderMillis time within which responses of one upstream may arrive out of order at different hosts, in
  * milliseconds: several times the latency between regions.
  */
 public data class StatedRateLimitSettings(
     public val relayMillis: Long = 10_000,
     public val maxNews: Int = 32,
+    public val minChange: Double = 0.1,
     public val reorderMillis: Long = 100,
 )
--- a/core/src/test/kotlin/buckthornbay/core/load/RateLimitTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/RateLimitTest.kt
@@ -118,6 +118,23 @@
         assertNull(third.limitOf("engine"), "an older statement must not replace the end of the limit")
     }
 
+    /** Overloaded engines may state another figure in each response. */
+    @Test
+    fun smallChangesOfALimitAreAnnouncedAgainAndAgain() {
+        limits.record(1_000, "engine", 4.0, "a")
+        assertNull(limits.record(1_100, "engine", 4.1, "b"))
+        assertEquals(4.1, limits.limitOf("engine"))
+        assertEquals(RateLimitChange("engine", 5.0), limits.record(1_200, "engine", 5.0, "c"))
+    }
+
+    /** More limits change at once than a message holds. */
+    @Test
+    fun someChangesOfLimitsAreNeverRelayed() {
+        repeat(100) { limits.record(1_000, "engine-$it", 4.0, "request-$it") }
+        val relayed = (1..4).flatMap { limits.news(1_000L + it) }.map { it.upstream }.toSet()
+        assertEquals(100, relayed.size)
+    }
+
     @Test
     fun aLimitThatDoesNotChangeIsRepeatedInEveryMessage() {
         limits.record(1_000, "engine", 4.0, "a")
