Deal slots of stated rate limits by demand in large fleets

Cause: in a large fleet each limited engine was used by a few hosts that rendezvous hashing selected. How many engines a host could use was left to chance, and a host counted with twice an even part of the demand at most, so that hosts in busy zones were held short. At the same time all users of an engine could be busy hosts, which together exceed its limit.

Evidence: busyZonesOfALargeFleetExceedTheLimitsOfSomeUpstreams failed before (up to 24.4 requests in 4 s, where 21.8 are allowed).

Limits are now divided into slots of one request per second, which are lined up like the demands of all hosts; a slot belongs to the host whose demand lies beside it. So each limit is used once and each host gets what its demand is owed. Hosts learn the demand before them from the exchange of accounts, whose zone sums are split at the receiver.

--- a/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
@@ -73,11 +73,11 @@
 
     /** Returns the accounts to send to [target]. */
     public fun accountsFor(target: Member): SourceAccounts =
-        if (target.zone == self.zone) sum(self.host.value) { false } else zoneSum(except = null)
+        if (target.zone == self.zone) sum(self.host.value) { false } else zoneSum()
 
     /** Returns the accounts to answer to the source of [received]. */
     public fun answerTo(received: SourceAccounts): List<SourceAccounts> =
-        if (received.zone == self.zone) restOfFleetFor(received.source) else listOf(zoneSum(except = null))
+        if (received.zone == self.zone) restOfFleetFor(received.source) else listOf(zoneSum())
 
     private fun aggregatorOf(members: List<Member>): Member {
         val first = rendezvousOrder(AGGREGATOR_KEY, members.map { it.host }).first()
@@ -92,15 +92,16 @@
         accounts.backlog.receive(nowMillis, HostId(received.source), received.waiting)
     }
 
-    /** Returns the sum over the hosts of this zone; leaves out [except], if not null, because that host adds its own accounts. */
-    private fun zoneSum(except: String?): SourceAccounts {
-        val name = if (except == null) "$ZONE_PREFIX${self.zone}" else "$ZONE_PREFIX${self.zone}$OTHERS_SUFFIX"
-        return sum(name) { source -> !source.startsWith(ZONE_PREFIX) && source != except }
-    }
+    private fun zoneSum(): SourceAccounts = sum(HostGroup.all(self.zone), include = ::isHost)
+
+    private fun isHost(source: String): Boolean = HostGroup.zoneOf(source) == null
 
+    /** Returns the accounts of all hosts but [host], which adds its own; those of its zone by whether they come before it. */
     private fun restOfFleetFor(host: String): List<SourceAccounts> {
         val zones = liveMembers().map { it.zone }.toSet() - self.zone
-        return listOf(zoneSum(except = host)) + zones.map { zone -> receivedFrom("$ZONE_PREFIX$zone", zone) }
+        val before = sum(HostGroup.before(self.zone), withOwn = self.host.value < host) { isHost(it) && it < host }
+        val after = sum(HostGroup.after(self.zone), withOwn = self.host.value > host) { isHost(it) && it > host }
+        return listOf(before, after) + zones.map { zone -> receivedFrom(HostGroup.all(zone), zone) }
     }
 
     private fun receivedFrom(source: String, zone: ZoneId): SourceAccounts {
@@ -114,21 +115,21 @@
         )
     }
 
-    private fun sum(name: String, include: (String) -> Boolean): SourceAccounts {
+    /** Returns the sum over the sources that [include] accepts, and over this host if [withOwn]. */
+    private fun sum(name: String, withOwn: Boolean = true, include: (String) -> Boolean): SourceAccounts {
         val nowMillis = clock.nowMillis()
+        val ownWaiting = if (withOwn) accounts.waiting(BACKLOG_WAIT_MILLIS) else emptySet()
         return SourceAccounts(
             name,
             self.zone,
-            accounts.startedWork.recentOf(nowMillis, include).toWholeTokens(),
-            accounts.requestedWork.recentOf(nowMillis, include).toWholeTokens(),
-            accounts.waiting(BACKLOG_WAIT_MILLIS) + accounts.backlog.waitingWhere(nowMillis) { include(it.value) },
+            accounts.startedWork.recentOf(nowMillis, withOwn, include).toWholeTokens(),
+            accounts.requestedWork.recentOf(nowMillis, withOwn, include).toWholeTokens(),
+            ownWaiting + accounts.backlog.waitingWhere(nowMillis) { include(it.value) },
         )
     }
 
     private companion object {
         const val AGGREGATOR_KEY = "accounts"
-        const val ZONE_PREFIX = "zone:"
-        const val OTHERS_SUFFIX = ":others"
 
         /**
          * Queueing time from which a workspace counts as backlogged, in milliseconds; in a large fleet nearly every workspace has
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -1,5 +1,6 @@
 package buckthornbay.core.admission
 
+import buckthornbay.core.load.DemandSegment
 import buckthornbay.protocol.WorkspaceId
 
 /**
@@ -11,18 +12,26 @@
  * capacity.
  *
  * @param fleetDemand demand of the workspaces on all hosts.
- * @param liveHosts number of hosts of the fleet.
+ * @param hosts live hosts of the fleet.
  */
 public class FairShares(
     private val fleetDemand: FleetAccounts,
+    private val hosts: HostOrder,
     private val settings: FairShareSettings = FairShareSettings(),
-    private val liveHosts: () -> Int,
 ) {
     private class Bucket(var tokens: Double, var asOfMillis: Long)
 
+    /** What all workspaces are owed, and the throughput that nobody demands, in tokens per second. */
+    private class Division(val owedByAll: Double, val spare: Double) {
+        /** Returns the part of the whole for a host or hosts that are [owed] tokens per second and [evenFraction] of the spare. */
+        fun fractionOf(owed: Double, evenFraction: Double): Double = (owed + spare * evenFraction) / (owedByAll + spare)
+    }
+
     private val buckets = HashMap<WorkspaceId, Bucket>()
     private var fairShare = Double.MAX_VALUE
     private var hostFraction = 0.0
+    private var division: Division? = null
+    private var rates = emptyMap<WorkspaceId, Double>()
     private var fairShareAtMillis = Long.MIN_VALUE / 2
 
     /** Total throughput of all engines, in tokens per second; null if unknown, in which case shares are unlimited. */
@@ -62,6 +71,14 @@
         return hostFraction
     }
 
+    /** Returns the segment of the whole that is this host's fraction, behind those of the hosts before it. */
+    public fun segment(nowMillis: Long): DemandSegment {
+        refreshFairShare(nowMillis)
+        val evenStart = hosts.precedingCount.toDouble() / hosts.count.coerceAtLeast(1)
+        val start = division?.fractionOf(owed(fleetDemand.tokensPerSecondAt(nowMillis, hosts::precedes)), evenStart)
+        return DemandSegment(start ?: evenStart, hostFraction)
+    }
+
     /** Returns the demand of [workspace] on all hosts, in tokens per second. */
     public fun demandTokensPerSecond(nowMillis: Long, workspace: WorkspaceId): Double =
         fleetDemand.tokensPerSecond(nowMillis, workspace)
@@ -80,22 +97,27 @@
         if (nowMillis - fairShareAtMillis < settings.refreshMillis) return
         fairShareAtMillis = nowMillis
         val capacity = tokensPerSecond
-        val rates = fleetDemand.workspaces.associateWith { fleetDemand.tokensPerSecond(nowMillis, it) }
+        rates = fleetDemand.workspaces.associateWith { fleetDemand.tokensPerSecond(nowMillis, it) }
         fairShare =
             if (capacity == null) Double.MAX_VALUE else maxMinShare(rates.values.toList(), capacity * settings.capacityFactor)
-        hostFraction = hostFraction(nowMillis, rates)
+        division = capacity?.let {
+            val owedByAll = owed(rates)
+            Division(owedByAll, (it - owedByAll).coerceAtLeast(0.0))
+        }
+        hostFraction = hostFraction(nowMillis, division)
     }
 
-    private fun hostFraction(nowMillis: Long, rates: Map<WorkspaceId, Double>): Double {
-        val evenFraction = 1.0 / liveHosts().coerceAtLeast(1)
-        val capacity = tokensPerSecond ?: return evenFraction
-        val owedByAll = rates.values.sumOf { minOf(it, fairShare) }
-        val owedHere = rates.entries.sumOf { (workspace, rate) ->
-            fleetDemand.ownTokensPerSecond(nowMillis, workspace) * if (rate > fairShare) fairShare / rate else 1.0
-        }
-        val spare = (capacity - owedByAll).coerceAtLeast(0.0)
-        val fraction = (owedHere + spare * evenFraction) / (owedByAll + spare)
-        return maxOf(fraction, settings.minHostFraction * evenFraction)
+    private fun hostFraction(nowMillis: Long, division: Division?): Double {
+        val evenFraction = 1.0 / hosts.count.coerceAtLeast(1)
+        if (division == null) return evenFraction
+        val owedHere = owed(rates.keys.associateWith { fleetDemand.ownTokensPerSecond(nowMillis, it) })
+        return maxOf(division.fractionOf(owedHere, evenFraction), settings.minHostFraction * evenFraction)
+    }
+
+    /** Returns what the workspaces are owed for a [demand], which may be a part of what they demand of the whole fleet. */
+    private fun owed(demand: Map<WorkspaceId, Double>): Double = demand.entries.sumOf { (workspace, tokensPerSecond) ->
+        val rate = rates[workspace] ?: tokensPerSecond
+        tokensPerSecond * if (rate > fairShare) fairShare / rate else 1.0
     }
 
     private companion object {
--- a/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
@@ -14,7 +14,11 @@
 public class FleetAccounts(private val timeConstantMillis: Double) {
     private class DecayingSum(var tokens: Double, var asOfMillis: Long)
 
-    private class RemoteTotals(val incarnation: Long, val totals: Map<WorkspaceId, Double>)
+    private class RemoteTotals(
+        val incarnation: Long,
+        val totals: Map<WorkspaceId, Double>,
+        val recent: HashMap<WorkspaceId, DecayingSum>,
+    )
 
     private class Snapshot(val recent: Map<WorkspaceId, Double>, val asOfMillis: Long)
 
@@ -41,11 +45,14 @@
     public fun receive(nowMillis: Long, host: HostId, incarnation: Long, totals: Map<WorkspaceId, Double>) {
         val previous = remoteTotals[host]
         if (previous != null && incarnation < previous.incarnation) return
-        remoteTotals[host] = RemoteTotals(incarnation, totals)
+        val current = RemoteTotals(incarnation, totals, previous?.recent ?: HashMap())
+        remoteTotals[host] = current
         if (previous == null || previous.incarnation != incarnation) return
         for ((workspace, total) in totals) {
             val delta = total - (previous.totals[workspace] ?: 0.0)
-            if (delta > 0) fleet.add(nowMillis, workspace, delta)
+            if (delta <= 0) continue
+            fleet.add(nowMillis, workspace, delta)
+            current.recent.add(nowMillis, workspace, delta)
         }
     }
 
@@ -69,9 +76,11 @@
     public fun snapshotOf(nowMillis: Long, source: String): Map<WorkspaceId, Double> =
         snapshots[source]?.takeIf { nowMillis - it.asOfMillis <= SNAPSHOT_TTL_MILLIS }?.recent.orEmpty()
 
-    /** Returns the recent work by workspace on this host and in the snapshots of the sources that [include] accepts. */
-    public fun recentOf(nowMillis: Long, include: (String) -> Boolean): Map<WorkspaceId, Double> = fleet.keys
-        .associateWith { workspace -> own.recent(nowMillis, workspace) + snapshotTokens(nowMillis, workspace, include) }
+    /** Returns the recent work by workspace in the snapshots of the sources that [include] accepts, and on this host if [withOwn]. */
+    public fun recentOf(nowMillis: Long, withOwn: Boolean, include: (String) -> Boolean): Map<WorkspaceId, Double> = fleet.keys
+        .associateWith { workspace ->
+            snapshotTokens(nowMillis, workspace, include) + if (withOwn) own.recent(nowMillis, workspace) else 0.0
+        }
         .filterValues { it >= 1.0 }
 
     /** Returns the recent work of [workspace] on all hosts, in tokens. */
@@ -86,6 +95,16 @@
     public fun ownTokensPerSecond(nowMillis: Long, workspace: WorkspaceId): Double =
         own.recent(nowMillis, workspace) / timeConstantMillis * MILLIS_PER_SECOND
 
+    /** Returns the recent work at other hosts whose reports come from the sources that [include] accepts, in tokens per second. */
+    public fun tokensPerSecondAt(nowMillis: Long, include: (source: String) -> Boolean): Map<WorkspaceId, Double> {
+        val reports = snapshots.filterKeys(include).values.filter { nowMillis - it.asOfMillis <= SNAPSHOT_TTL_MILLIS }
+        val hosts = remoteTotals.filterKeys { include(it.value) }.values
+        return fleet.keys.associateWith { workspace ->
+            val tokens = reports.sumOf { it.recent[workspace] ?: 0.0 } + hosts.sumOf { it.recent.recent(nowMillis, workspace) }
+            tokens / timeConstantMillis * MILLIS_PER_SECOND
+        }
+    }
+
     /** Returns the fraction of the recent work of [workspace] that was on this host, from 0 to 1. */
     public fun ownFraction(nowMillis: Long, workspace: WorkspaceId): Double {
         val all = recentTokens(nowMillis, workspace)
--- a/core/src/main/kotlin/buckthornbay/core/load/StatedRateLimits.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/StatedRateLimits.kt
@@ -44,6 +44,10 @@
     /** Number of upstreams that state a limit. */
     public val size: Int get() = statements.values.count { it.perSecond != null }
 
+    /** The limits by upstream, for all hosts together, in requests per second. */
+    public val limits: Map<String, Double>
+        get() = statements.entries.mapNotNull { (upstream, it) -> it.perSecond?.let { limit -> upstream to limit } }.toMap()
+
     /** Returns the limit of [upstream] for all hosts together, in requests per second; null if it states none. */
     public fun limitOf(upstream: String): Double? = statements[upstream]?.perSecond
 
--- a/core/src/test/kotlin/buckthornbay/core/admission/AdmissionPolicyTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/AdmissionPolicyTest.kt
@@ -92,7 +92,7 @@
         accounts.putSnapshot(0, "zone:a", mapOf(workspace to 300.0))
         assertEquals(400.0, accounts.recentTokens(0, workspace))
         assertEquals(0.25, accounts.ownFraction(0, workspace))
-        assertEquals(mapOf(workspace to 100.0), accounts.recentOf(0) { false })
+        assertEquals(mapOf(workspace to 100.0), accounts.recentOf(0, withOwn = true) { false })
         assertTrue(accounts.recentTokens(2_001, workspace) < 100.0)
     }
 
--- a/core/src/test/kotlin/buckthornbay/core/admission/FairSharesTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/FairSharesTest.kt
@@ -1,12 +1,23 @@
 package buckthornbay.core.admission
 
+import buckthornbay.core.Clock
 import buckthornbay.protocol.HostId
+import buckthornbay.protocol.Member
+import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.WorkspaceId
+import buckthornbay.protocol.ZoneId
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
+/** A number of hosts of which nothing else is known. */
+internal class EvenHosts(override val count: Int) : HostOrder {
+    override val precedingCount: Int get() = 0
+
+    override fun precedes(source: String): Boolean = false
+}
+
 class FairSharesTest {
     private val small = WorkspaceId("small")
     private val hot = WorkspaceId("hot")
@@ -21,7 +32,7 @@
     /** For six seconds one workspace demands eight times the throughput of all engines and another one a tenth of it. */
     @Test
     fun aHotWorkspaceDoesNotTakeASmallOnesShare() {
-        val shares = FairShares(FleetAccounts(1_200.0)) { 1 }
+        val shares = FairShares(FleetAccounts(1_200.0), EvenHosts(1))
         shares.tokensPerSecond = 100_000.0
         var hotWithin = 0.0
         for (nowMillis in 0L until 6_000L step 10L) {
@@ -34,7 +45,7 @@
 
     @Test
     fun withoutAKnownThroughputSharesAreUnlimited() {
-        val shares = FairShares(FleetAccounts(1_200.0)) { 1 }
+        val shares = FairShares(FleetAccounts(1_200.0), EvenHosts(1))
         repeat(1_000) { assertTrue(shares.tryAcquire(it.toLong(), hot, 50_000.0)) }
     }
 
@@ -43,7 +54,7 @@
     fun hostsDivideOneShareAmongThem() {
         val hosts = List(9) { HostId("host-$it") }
         val accounts = hosts.map { FleetAccounts(1_200.0) }
-        val shares = accounts.map { fleetDemand -> FairShares(fleetDemand) { hosts.size }.apply { tokensPerSecond = 90_000.0 } }
+        val shares = accounts.map { fleetDemand -> FairShares(fleetDemand, EvenHosts(hosts.size)).apply { tokensPerSecond = 90_000.0 } }
         var within = 0.0
         for (nowMillis in 0L until 6_000L step 20L) {
             shares.forEach { if (it.tryAcquire(nowMillis, hot, 4_000.0) && nowMillis >= 2_000L) within += 4_000.0 }
@@ -56,7 +67,7 @@
     /** The first requests after a quiet time arrive everywhere at once, before the hosts have told each other. */
     @Test
     fun hostsThatDoNotKnowOfEachOthersDemandDoNotEachClaimTheWhole() {
-        val shares = FairShares(FleetAccounts(1_200.0)) { 10 }
+        val shares = FairShares(FleetAccounts(1_200.0), EvenHosts(10))
         shares.tokensPerSecond = 1_000_000.0
         shares.tryAcquire(0, small, 12_000.0)
         assertTrue(shares.hostFraction(60) < 0.2, "the host claims ${shares.hostFraction(60)}")
@@ -66,7 +77,7 @@
     @Test
     fun aHostThatHasAllCallersOfAWorkspaceGetsThatWorkspacesShare() {
         val accounts = FleetAccounts(1_200.0)
-        val shares = FairShares(accounts) { 10 }
+        val shares = FairShares(accounts, EvenHosts(10))
         shares.tokensPerSecond = 1_000_000.0
         accounts.putSnapshot(0, "others", mapOf(hot to 6_000_000.0))
         for (nowMillis in 0L until 1_000L step 10L) shares.tryAcquire(nowMillis, small, 20_000.0)
@@ -74,6 +85,52 @@
         assertTrue(fraction in 0.45..0.55, "two workspaces share the engines, the host has $fraction")
     }
 
+    /** Hosts of a large fleet know the demand of the hosts before them from sums only. */
+    @Test
+    fun segmentsOfHostsOfALargeFleetOverlap() {
+        val clock = Clock { 1_000L }
+        val members = List(24) { Member(HostId("host-$it"), "url-$it", RegionId("region"), ZoneId("zone-${it % 3}"), 1) }
+        val accounts = members.map { _ ->
+            val started = FleetAccounts(4_000.0)
+            WorkspaceAccounts(started, FleetAccounts(1_200.0), FleetBacklog(started), clock) { emptySet() }
+        }
+        val aggregations = members.indices.map { AccountsAggregation(members[it], accounts[it]) { members } }
+        members.indices.forEach { accounts[it].requestedWork.charge(1_000, if (it % 3 == 0) hot else small, 1_000.0 * (it + 12)) }
+        repeat(3) { exchangeOnce(members, aggregations) }
+        assertSegmentsTile(members, accounts.map { it.requestedWork }, nowMillis = 1_000)
+    }
+
+    @Test
+    fun segmentsOfHostsThatExchangeTotalsOverlap() {
+        val members = List(7) { Member(HostId("host-$it"), "url-$it", RegionId("region"), ZoneId("zone-${it % 3}"), 1) }
+        val accounts = members.map { FleetAccounts(1_200.0) }
+        exchange(0, members.map { it.host }, accounts)
+        members.indices.forEach { accounts[it].charge(1_000, if (it % 2 == 0) hot else small, 5_000.0 * (it + 4)) }
+        exchange(1_000, members.map { it.host }, accounts)
+        assertSegmentsTile(members, accounts, nowMillis = 1_000)
+    }
+
+    private fun exchangeOnce(members: List<Member>, aggregations: List<AccountsAggregation>) {
+        for (from in members.indices) {
+            for (target in aggregations[from].targets()) {
+                val to = aggregations[members.indexOf(target)]
+                val sent = aggregations[from].accountsFor(target)
+                to.merge(sent)
+                to.answerTo(sent).forEach(aggregations[from]::merge)
+            }
+        }
+    }
+
+    private fun assertSegmentsTile(members: List<Member>, demand: List<FleetAccounts>, nowMillis: Long) {
+        val segments = members.indices.sortedWith(compareBy({ members[it].zone.value }, { members[it].host.value })).map {
+            val shares = FairShares(demand[it], ZoneHostOrder(members[it]) { members })
+            shares.apply { tokensPerSecond = 100_000.0 }.segment(nowMillis)
+        }
+        assertEquals(0.0, segments.first().start, ROUNDING)
+        segments.zipWithNext().forEach { (left, right) -> assertEquals(left.end, right.start, ROUNDING) }
+        assertEquals(1.0, segments.last().end, ROUNDING)
+    }
+
     private fun exchange(nowMillis: Long, hosts: List<HostId>, accounts: List<FleetAccounts>) {
         for (from in hosts.indices) {
             for (to in hosts.indices - from) accounts[to].receive(nowMillis, hosts[from], 1, accounts[from].totals())
@@ -108,4 +165,9 @@
         assertFalse(backlog.shouldYield(100, small))
         assertFalse(backlog.shouldYield(5_000, hot), "the report has expired")
     }
+
+    private companion object {
+        /** Hosts exchange whole tokens. */
+        const val ROUNDING = 0.001
+    }
 }
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -185,7 +185,7 @@
         private val aggregation = AccountsAggregation(self, accounts) { hosts.map { it.self } }
         val admission = Admission(
             AdmissionPolicy(random),
-            FairShares(requested) { HOSTS }.apply { tokensPerSecond = plan.tokensPerSecond },
+            FairShares(requested, ZoneHostOrder(self) { hosts.map { it.self } }).apply { tokensPerSecond = plan.tokensPerSecond },
             CallerRetryTracker(),
         )
         private val candidates = List(engineShape.count) { engine ->
--- a/core/src/test/kotlin/buckthornbay/core/load/RateLimitTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/RateLimitTest.kt
@@ -1,6 +1,5 @@
 package buckthornbay.core.load
 
-import buckthornbay.protocol.HostId
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -13,10 +12,8 @@
 
     /** Hosts that send to one upstream whenever they may; [fractions] are their parts of the demand. */
     private class Senders(private val limit: Double, private val fractions: List<Double>) {
-        private val hosts = fractions.indices.map { HostId("host-$it") }
-        private val loads = hosts.mapIndexed { index, host ->
-            val share = HostRateShare(host, { hosts }, { fractions[index] })
-            RateLimitedLoad(EngineLoad { fractions[index] }) { nowMillis -> share.of(nowMillis, "engine", limit) }
+        private val loads = divisionsOf(fractions) { mapOf("engine" to limit) }.mapIndexed { index, division ->
+            RateLimitedLoad(EngineLoad { fractions[index] }) { nowMillis -> division.ownRate(nowMillis, "engine") }
         }
         private var sequence = 0
 
@@ -42,8 +39,36 @@
         for (limit in listOf(2.8, 7.9, 20.0)) {
             val fractions = listOf(0.5) + List(66) { 0.5 / 66 }
             assertLimitHolds(limit, fractions, minUsedFraction = 0.5)
-            val ownShare = HostRateShare(HostId("host-0"), { List(67) { HostId("host-$it") } }, { 0.5 }).of(0, "engine", limit)
-            assertTrue(ownShare >= 0.5 * limit, "$ownShare of $limit")
+            val ownRate = checkNotNull(divisionsOf(fractions) { mapOf("engine" to limit) }.first().ownRate(0, "engine"))
+            assertTrue(ownRate >= 0.5 * limit - ROUNDING, "$ownRate of $limit")
+        }
+    }
+
+    private val busyThird = List(67) { if (it < 22) 0.75 / 22 else 0.25 / 45 }
+
+    /** The hosts that use an engine may all be among those whose callers are busier than the others. */
+    @Test
+    fun busyZonesOfALargeFleetExceedTheLimitsOfSomeUpstreams() {
+        for (limit in listOf(1.5, 2.8, 5.0, 20.0)) {
+            val upstreams = List(55) { "engine-$it" }
+            val divisions = divisionsOf(busyThird) { upstreams.associateWith { limit } }
+            for (upstream in upstreams) {
+                val rates = divisions.mapNotNull { it.ownRate(0, upstream) }.filter { it > 0.0 }
+                val mostInWindow = 4 * rates.sum() + rates.size
+                assertTrue(mostInWindow <= 1.5 * 4 * limit + 5, "limit $limit, $upstream: up to $mostInWindow requests in 4 s")
+            }
+        }
+    }
+
+    /** What a host may send to all engines together must not depend on chance, nor be less where callers are busy. */
+    @Test
+    fun hostsOfALargeFleetMaySendTooLittleForTheirDemand() {
+        val upstreams = List(55) { "engine-$it" }
+        val divisions = divisionsOf(busyThird) { upstreams.associateWith { 5.0 } }
+        divisions.zip(busyThird).forEachIndexed { host, (division, fraction) ->
+            val owed = 55 * 5.0 * fraction
+            val rate = upstreams.sumOf { checkNotNull(division.ownRate(0, it)) }
+            assertTrue(rate >= owed - 1.0 && rate <= owed + 1.0, "host $host may send $rate of $owed requests per second")
         }
     }
 
@@ -152,4 +177,16 @@
         assertNull(limits.limitOf("engine@1"))
         assertEquals(emptyList(), limits.news(1_100))
     }
+
+    private companion object {
+        const val ROUNDING = 1e-9
+
+        /** Returns the division of [limits] at each of the hosts whose parts of the demand are [fractions]. */
+        fun divisionsOf(fractions: List<Double>, limits: () -> Map<String, Double>): List<RateLimitDivision> {
+            val starts = fractions.runningFold(0.0, Double::plus)
+            return fractions.mapIndexed { index, fraction ->
+                RateLimitDivision({ fractions.size }, { DemandSegment(starts[index], fraction) }, limits)
+            }
+        }
+    }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -11,8 +11,9 @@
 import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.admission.FleetBacklog
 import buckthornbay.core.admission.WorkspaceAccounts
-import buckthornbay.core.load.HostRateShare
+import buckthornbay.core.admission.ZoneHostOrder
 import buckthornbay.core.load.Placement
+import buckthornbay.core.load.RateLimitDivision
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.MembershipSettings
 import buckthornbay.core.membership.StoreWatcherSelection
@@ -65,22 +66,21 @@
         WorkspaceAccounts(startedWork, FleetAccounts(DEMAND_DECAY_MILLIS), FleetBacklog(startedWork), clock) {
             context.dispatcher.workspacesWaitingFor(it)
         }
-    private val shares = FairShares(accounts.requestedWork) { membership.live().size }
+    private val selfMember = Member(settings.host, settings.listen.control, settings.region, settings.zone, incarnation)
+    private val hostOrder = ZoneHostOrder(selfMember) { membership.live() }
+    private val shares = FairShares(accounts.requestedWork, hostOrder)
     private val metrics = GatewayMetrics()
     private val rateLimits = RateLimitWatch(deployment.callerInterface, clock, log, metrics)
-    private val rateShare = HostRateShare(
-        settings.host,
-        { membership.live().map { it.host } },
-    ) { shares.hostFraction(clock.nowMillis()) }
+    private val rateDivision = RateLimitDivision({ hostOrder.count }, shares::segment, rateLimits::perUpstream)
     private val upstreams =
         UpstreamTable(registry, { regions[it] }, clock, { shares.hostFraction(clock.nowMillis()) }) { upstream, nowMillis ->
-            rateLimits.limitOf(upstream)?.let { rateShare.of(nowMillis, upstream.incarnation, it) }
+            rateDivision.ownRate(nowMillis, upstream.incarnation)
         }
     private val connections = ConnectionPool(group, clock, PoolSettings())
     private val transport = NettyTransport(connections)
     private val fleetView = FleetView(deployment.format, registry, clock, log, ::fleetViewChanged)
     private val membership = Membership(
-        Member(settings.host, settings.listen.control, settings.region, settings.zone, incarnation),
+        selfMember,
         settings.seeds - settings.listen.control,
         random,
         MEMBERSHIP,
@@ -88,7 +88,7 @@
     private val watcherSelection = StoreWatcherSelection(settings.host)
     private val accountsExchange = AccountsExchange(
         membership,
-        AccountsAggregation(membership.selfMember, accounts, membership::live),
+        AccountsAggregation(selfMember, accounts, membership::live),
         transport,
         log,
     )
--- a/router/src/main/kotlin/buckthornbay/router/gateway/RateLimitWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/RateLimitWatch.kt
@@ -20,8 +20,8 @@
     /** Called when this host has received a response with another limit than before, which peers should learn of at once. */
     var onChange: () -> Unit = {}
 
-    /** Returns the limit of [upstream] for all hosts together, in requests per second; null if it states none. */
-    fun limitOf(upstream: UpstreamEntry): Double? = limits.limitOf(upstream.incarnation)
+    /** The limits by incarnation of the upstream, for all hosts together, in requests per second. */
+    val perUpstream: Map<String, Double> get() = limits.limits
 
     /**
      * Reads the [headers] of the response of [upstream] to request [id].
