--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -23,7 +23,7 @@
 
     /** What all workspaces are owed, and the throughput that nobody demands, in tokens per second. */
     private class Division(val owedByAll: Double, val spare: Double) {
-        /** Returns the part of the whole for a host or hosts that are [owed] tokens per second and [evenFraction] of the spare. */
+        /** Returns the part of the whole for hosts that are [owed] tokens per second and [evenFraction] of the spare. */
         fun fractionOf(owed: Double, evenFraction: Double): Double = (owed + spare * evenFraction) / (owedByAll + spare)
     }
 
--- a/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
@@ -76,7 +76,10 @@
     public fun snapshotOf(nowMillis: Long, source: String): Map<WorkspaceId, Double> =
         snapshots[source]?.takeIf { nowMillis - it.asOfMillis <= SNAPSHOT_TTL_MILLIS }?.recent.orEmpty()
 
-    /** Returns the recent work by workspace in the snapshots of the sources that [include] accepts, and on this host if [withOwn]. */
+    /**
+     * Returns the recent work by workspace in the snapshots of the sources that [include] accepts, and on this host if
+     * [withOwn].
+     */
     public fun recentOf(nowMillis: Long, withOwn: Boolean, include: (String) -> Boolean): Map<WorkspaceId, Double> = fleet.keys
         .associateWith { workspace ->
             snapshotTokens(nowMillis, workspace, include) + if (withOwn) own.recent(nowMillis, workspace) else 0.0
@@ -95,7 +98,7 @@
     public fun ownTokensPerSecond(nowMillis: Long, workspace: WorkspaceId): Double =
         own.recent(nowMillis, workspace) / timeConstantMillis * MILLIS_PER_SECOND
 
-    /** Returns the recent work at other hosts whose reports come from the sources that [include] accepts, in tokens per second. */
+    /** Returns the recent work that the sources that [include] accepts have reported, in tokens per second. */
     public fun tokensPerSecondAt(nowMillis: Long, include: (source: String) -> Boolean): Map<WorkspaceId, Double> {
         val reports = snapshots.filterKeys(include).values.filter { nowMillis - it.asOfMillis <= SNAPSHOT_TTL_MILLIS }
         val hosts = remoteTotals.filterKeys { include(it.value) }.values
--- a/core/src/main/kotlin/buckthornbay/core/admission/HostOrder.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/HostOrder.kt
@@ -33,8 +33,7 @@
         }
     }
 
-    private fun precedesSelf(member: Member): Boolean =
-        compareValuesBy(member, self, { it.zone.value }, { it.host.value }) < 0
+    private fun precedesSelf(member: Member): Boolean = compareValuesBy(member, self, { it.zone.value }, { it.host.value }) < 0
 }
 
 /** Names of groups of hosts as sources of accounts. */
--- a/core/src/main/kotlin/buckthornbay/core/load/RateLimitDivision.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/RateLimitDivision.kt
@@ -97,7 +97,7 @@
     }
 
     private companion object {
-        /** Minimum time between two computations of the rates, in milliseconds; what they depend on changes with messages of peers. */
+        /** Minimum time between two computations of the rates, in milliseconds; messages of peers come less often. */
         const val REFRESH_MILLIS = 50L
 
         /** Requests that all hosts together may send at once: those of so many seconds of the limit, and a few more. */
--- a/core/src/main/kotlin/buckthornbay/core/load/StatedRateLimits.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/StatedRateLimits.kt
@@ -55,7 +55,7 @@
     public fun record(nowMillis: Long, upstream: String, perSecond: Double?, id: String): RateLimitChange? =
         adopt(nowMillis, upstream, Statement(id, perSecond, nowMillis, nowMillis))
 
-    /** Returns what a peer needs to know: recent changes, the least often relayed first. Later hosts learn limits from responses. */
+    /** Returns recent changes for a peer, the least often relayed first; later hosts learn limits from responses. */
     public fun news(nowMillis: Long): List<RateLimitNews> = statements.entries
         .filter { (_, it) -> nowMillis - it.changedAtMillis <= settings.relayMillis }
         .sortedBy { (_, it) -> it.relayCount }
@@ -103,7 +103,8 @@
  *
  * @property relayMillis how long a change is passed on to peers, in milliseconds; gossip reaches all hosts within two seconds.
  * @property maxNews maximum number of upstreams in a message, which bounds its size.
- * @property minChange minimum change of a limit that is passed on, as a part of it; other hosts learn smaller ones from responses.
+ * @property minChange minimum change of a limit that is passed on, as a part of it; other hosts learn smaller ones from
+ * responses.
  * @property reorderMillis time within which responses of one upstream may arrive out of order at different hosts, in
  * milliseconds: several times the latency between regions.
  */
--- a/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
@@ -61,7 +61,8 @@
     /** Upstreams that state few requests per second can't serve a long queue before its requests time out. */
     @Test
     fun requestsThatCannotBePlacedInTimeStayQueued() {
-        val requests = (1..4).map { waiting("a$it", first) } + waiting("b1", second) + waiting("b2", second, WaitingRank.BEYOND_SHARE)
+        val beyondShare = waiting("b2", second, WaitingRank.BEYOND_SHARE)
+        val requests = (1..4).map { waiting("a$it", first) } + waiting("b1", second) + beyondShare
         requests.forEach(queue::add)
         accounts.charge(0, second, 10_000.0)
         assertEquals(listOf("a4", "b2"), queue.unservable(0, placementsPerSecond = 6.0).map { it.id })
--- a/core/src/test/kotlin/buckthornbay/core/admission/FairSharesTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/FairSharesTest.kt
@@ -54,7 +54,7 @@
     fun hostsDivideOneShareAmongThem() {
         val hosts = List(9) { HostId("host-$it") }
         val accounts = hosts.map { FleetAccounts(1_200.0) }
-        val shares = accounts.map { fleetDemand -> FairShares(fleetDemand, EvenHosts(hosts.size)).apply { tokensPerSecond = 90_000.0 } }
+        val shares = accounts.map { FairShares(it, EvenHosts(hosts.size)).apply { tokensPerSecond = 90_000.0 } }
         var within = 0.0
         for (nowMillis in 0L until 6_000L step 20L) {
             shares.forEach { if (it.tryAcquire(nowMillis, hot, 4_000.0) && nowMillis >= 2_000L) within += 4_000.0 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -57,7 +57,7 @@
     /** Returns whether a failed request with [demand] must not be repeated, because it may crash the next upstream as well. */
     fun isSuspected(demand: TokenDemand): Boolean = quarantine.isSuspected(demand)
 
-    /** Records that [upstream] closed the connection of request [id] with [demand], sent at [sentAtMillis], before it answered. */
+    /** Records that [upstream] closed the connection of request [id], sent at [sentAtMillis], before it answered. */
     fun connectionLost(upstream: UpstreamEntry, id: String, demand: TokenDemand, sentAtMillis: Long) =
         checkAfterClose(upstream, LostRequest(id, demand, sentAtMillis, answered = false))
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -78,7 +78,7 @@
         /** Whether this host has received any object of this kind. */
         val isKnown: Boolean
 
-        /** Long-poll time of a watch call, in milliseconds; a hung call ends this time and the response timeout after its start. */
+        /** Long-poll time of a watch call, in milliseconds; a hung call is given up after it and the response timeout. */
         val watchMillis: Long
 
         /** Delay after a change before the next watch call, in milliseconds, in which further changes accumulate. */
