--- a/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
@@ -129,7 +129,10 @@
         val recent = crashes.values.filter {
             nowMillis - it.atMillis <= settings.relayMillis
         }.takeLast(settings.maxRelayedCrashes)
-        val crashNews = recent.map { crash -> crashNews(nowMillis, crash, settings.maxRelayedSuspects / recent.size) }
+        val crashCounts = crashes.values.flatMap { it.suspects }.groupingBy { it.part }.eachCount()
+        val crashNews = recent.map { crash ->
+            crashNews(nowMillis, crash, settings.maxRelayedSuspects / recent.size, crashCounts)
+        }
         val parts = crashNews.flatMap { crash -> crash.suspects.map { it.part } }.toSet() + quarantined.keys
         return QuarantineNews(
             crashes = crashNews,
@@ -178,8 +181,8 @@
     }
 
     /** Parts that were involved in most crashes come first, so that made-up parts of one crash don't push out a real one. */
-    private fun crashNews(nowMillis: Long, crash: Crash, maxSuspects: Int): CrashNews {
-        val suspects = crash.suspects.sortedByDescending { crashesWith(it.part).size }.take(maxSuspects)
+    private fun crashNews(nowMillis: Long, crash: Crash, maxSuspects: Int, crashCounts: Map<String, Int>): CrashNews {
+        val suspects = crash.suspects.sortedByDescending { crashCounts[it.part] }.take(maxSuspects)
             .map { SuspectNews(it.part, it.position, nowMillis - it.sentAtMillis) }
         return CrashNews(crash.upstream, nowMillis - crash.atMillis, suspects)
     }
