Deliver failed connections on the event loop

What callers saw: a host that ran out of file descriptors under a flood of connections served fewer and fewer requests afterwards, although engines had free slots, until it restarted.

Cause: when no channel can be created, Netty reports it on its global executor instead of the event loop to which all state of a host is confined. The request that fails then changes queues, loads and accounts at the same time as the event loop. What is left behind can't be sent, and each attempt to place it ends the task that tries, such as the maintenance of the host, which never runs again.

The pool now delivers each result on its event loop.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
@@ -3,10 +3,11 @@
 import buckthornbay.core.Clock
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFactory
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
-import io.netty.channel.EventLoopGroup
+import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
@@ -23,13 +24,18 @@
 /**
  * Pool of keep-alive connections by address.
  *
- * It is confined to one event loop.
+ * It is confined to [eventLoop], on which it also delivers all results.
  */
-internal class ConnectionPool(private val group: EventLoopGroup, private val clock: Clock, private val settings: PoolSettings) {
+internal class ConnectionPool(
+    private val eventLoop: EventLoop,
+    private val clock: Clock,
+    private val settings: PoolSettings,
+    newChannel: ChannelFactory<Channel> = ChannelFactory { NioSocketChannel() },
+) {
     private val idle = HashMap<String, ArrayDeque<HttpConnection>>()
     private val bootstrap = Bootstrap()
-        .group(group)
-        .channel(NioSocketChannel::class.java)
+        .group(eventLoop)
+        .channelFactory(newChannel)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectTimeoutMillis)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
@@ -95,15 +101,21 @@
         }
         bootstrap.clone().handler(handlers).connect(target).addListener(
             ChannelFutureListener { future ->
-                if (future.isSuccess) {
-                    onResult(ConnectResult.Open(connection, reused = false))
+                val result = if (future.isSuccess) {
+                    ConnectResult.Open(connection, reused = false)
                 } else {
-                    onResult(ConnectResult.Failed(future.cause()?.message ?: "no connection to $address"))
+                    ConnectResult.Failed(future.cause()?.message ?: "no connection to $address")
                 }
+                deliver(result, onResult)
             },
         )
     }
 
+    /** Netty reports on a thread of its own that no channel could be created, for example for lack of file descriptors. */
+    private fun deliver(result: ConnectResult, onResult: (ConnectResult) -> Unit) {
+        if (eventLoop.inEventLoop()) onResult(result) else eventLoop.execute { onResult(result) }
+    }
+
     private fun release(address: String, connection: HttpConnection) {
         val queue = idle.getOrPut(address) { ArrayDeque() }
         if (queue.size >= settings.maxIdlePerAddress) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -76,7 +76,7 @@
         UpstreamTable(registry, { regions[it] }, clock, { shares.hostFraction(clock.nowMillis()) }) { upstream, nowMillis ->
             rateDivision.ownRate(nowMillis, upstream.incarnation)
         }
-    private val connections = ConnectionPool(group, clock, PoolSettings())
+    private val connections = ConnectionPool(eventLoop, clock, PoolSettings())
     private val transport = NettyTransport(connections)
     private val fleetView = FleetView(deployment.format, registry, clock, log, ::fleetViewChanged)
     private val membership = Membership(
--- a/router/src/main/kotlin/buckthornbay/router/gateway/WarmUpRun.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/WarmUpRun.kt
@@ -33,7 +33,7 @@
         val listeners = Listeners(group, SystemClock)
         listeners.listen(standInAddress, HostHandler(deployment.callerInterface, ::answer))
         gatewayProcess(settings(), deployment)
-        val transport = NettyTransport(ConnectionPool(group, SystemClock, PoolSettings()))
+        val transport = NettyTransport(ConnectionPool(group.next(), SystemClock, PoolSettings()))
         val answered = withContext(group.next().asCoroutineDispatcher()) { sendRequests(transport, rounds) }
         listeners.close()
         group.shutdownGracefully()
