Remove a request from its queue before it is sent

Cause: a request left the queue only after it had been sent. If it fails at once, the room that it frees is offered to the queue meanwhile: the same request is sent again, or, if it has ended, stays in the queue for ever and ends each attempt to place requests behind it. Each further request that fails at once also adds to the stack.

Evidence: aRequestIsSentAgainWhileItIsBeingSent failed before.

A request is now withdrawn before it is sent, and a queue that is being placed is not placed again from within; it is scanned again after each request that was placed anyway.

--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -70,6 +70,9 @@
 ) {
     private val queues = HashMap<ServiceId, FairQueue<DispatchedRequest>>()
 
+    /** Services whose requests are being sent; requests that fail at once may cause further ones to be placed meanwhile. */
+    private val placing = HashSet<ServiceId>()
+
     /** Number of queued requests of all services. */
     public val waitingCount: Int get() = queues.values.sumOf { it.size }
 
@@ -116,8 +119,12 @@
     /** Sends the queued requests for which an upstream of [service] has room. */
     public fun place(service: ServiceId) {
         val queue = queues[service] ?: return
-        if (queue.size == 0) return
-        queue.placeWhile(clock.nowMillis()) { waiting -> placeOne(waiting.request) }
+        if (queue.size == 0 || !placing.add(service)) return
+        try {
+            queue.placeWhile(clock.nowMillis()) { waiting -> placeOne(waiting.request) }
+        } finally {
+            placing.remove(service)
+        }
     }
 
     /**
@@ -138,6 +145,7 @@
      * Load: most requests of a service exceed what its upstreams take, for many seconds.
      */
     private fun refuseUnservable(service: ServiceId) {
+        if (service in placing) return
         val requestsPerSecond = statedRequestsPerSecond(service) ?: return
         queueFor(service).unservable(clock.nowMillis(), requestsPerSecond).map { it.request }
             .filter { it.triedUpstreams.isEmpty() }
@@ -161,7 +169,7 @@
         val preferred = usable.filterNot { it.id in request.triedUpstreams }.ifEmpty { usable }
         val choice =
             placement.choose(nowMillis, preferred, request.demand, request.mayWaitForBestUpstream(nowMillis)) ?: return false
-        request.queueEntry = null
+        withdraw(request)
         request.demand?.let { demand ->
             workspace?.let { accounts.charge(nowMillis, it, demand.workTokens) }
             choice.upstream.cache?.recordPrefill(nowMillis, demand)
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -69,13 +69,12 @@
     /**
      * Offers queued requests to [place] in priority order, and starts over after each one placed, until none can be placed.
      *
-     * A request that does not fit causes no head-of-line blocking: smaller requests of other workspaces may still fit.
+     * [place] must remove a request before it places it. A request that does not fit causes no head-of-line blocking: smaller
+     * requests of other workspaces may still fit.
      */
     public fun placeWhile(nowMillis: Long, place: (QueuedRequest<T>) -> Boolean) {
         var placed = true
-        while (placed && size > 0) {
-            placed = inPriorityOrder(nowMillis).any { request -> place(request).also { if (it) remove(request) } }
-        }
+        while (placed && size > 0) placed = inPriorityOrder(nowMillis).any(place)
     }
 
     /**
--- a/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
@@ -6,7 +6,9 @@
 import buckthornbay.core.load.Placement
 import buckthornbay.core.load.PlainLoad
 import buckthornbay.core.load.RateLimitedLoad
+import buckthornbay.core.load.SendOutcome
 import buckthornbay.core.load.TokenDemand
+import buckthornbay.core.load.UpstreamLoad
 import buckthornbay.core.load.UpstreamReliability
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.ServiceId
@@ -21,19 +23,25 @@
     private val clock = Clock { nowMillis }
     private var nowMillis = 0L
     private var limit: Double? = null
+    private var hasRoom = true
+    private var onSent = {}
     private val sent = ArrayList<String>()
     private val refused = ArrayList<String>()
     private val startedWork = FleetAccounts(4_000.0)
     private val upstream = Candidate(
         UpstreamId("engine"),
         region,
-        RateLimitedLoad(PlainLoad(slots = 64)) { limit },
+        RateLimitedLoad(GatedLoad(PlainLoad(slots = 64))) { limit },
         UpstreamReliability(),
         cache = null,
     )
     private val dispatcher =
         Dispatcher({ listOf(upstream) }, startedWork, FleetBacklog(startedWork), Placement(region), clock)
 
+    private inner class GatedLoad(private val inner: UpstreamLoad) : UpstreamLoad by inner {
+        override fun hasRoom(nowMillis: Long, cost: Double): Boolean = hasRoom && inner.hasRoom(nowMillis, cost)
+    }
+
     private inner class TestRequest(override val id: String) : DispatchedRequest {
         override val service: ServiceId = this@DispatcherTest.service
         override val workspaceId = WorkspaceId("workspace")
@@ -50,6 +58,7 @@
         override fun send(choice: Choice) {
             choice.upstream.load.sent(nowMillis, id, choice.cost)
             sent += id
+            onSent()
         }
 
         override fun refuse(reason: String) {
@@ -73,6 +82,25 @@
         assertEquals(listOf("1"), sent)
     }
 
+    /** A request that fails while it is sent makes room, so that the queue is placed again before it has left it. */
+    @Test
+    fun aRequestIsSentAgainWhileItIsBeingSent() {
+        var depth = 0
+        onSent = {
+            depth++
+            assertEquals(1, depth, "each request that fails at once adds to the stack")
+            upstream.load.ended(nowMillis, sent.last(), SendOutcome.UNREACHABLE)
+            dispatcher.place(service)
+            depth--
+        }
+        hasRoom = false
+        submit(1..50)
+        hasRoom = true
+        dispatcher.place(service)
+        assertEquals((1..50).map { "$it" }, sent)
+        assertEquals(0, dispatcher.waitingCount)
+    }
+
     @Test
     fun requestsForUpstreamsWithoutAStatedRateLimitAreRefusedEarly() {
         submit(1..100)
--- a/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/FairQueueTest.kt
@@ -17,7 +17,7 @@
 
     private fun placeAll(): List<String> {
         val order = ArrayList<String>()
-        queue.placeWhile(0) { order.add(it.id) }
+        queue.placeWhile(0) { queue.remove(it) && order.add(it.id) }
         return order
     }
 
@@ -42,7 +42,7 @@
         queue.add(waiting("large", first))
         queue.add(waiting("small", second))
         val placed = ArrayList<String>()
-        queue.placeWhile(0) { waiting -> (waiting.id == "small").also { if (it) placed += waiting.id } }
+        queue.placeWhile(0) { waiting -> (waiting.id == "small" && queue.remove(waiting)).also { if (it) placed += waiting.id } }
         assertEquals(listOf("small"), placed)
         assertEquals(1, queue.size)
         assertEquals(setOf(first), queue.workspacesWaitingSince(0))
