Attribute each response to the attempt that it answers

Cause: an upstream's response without the id of a request was taken for the answer to the present one, a rejection too, so that an old rejection written once more turned a request that ran into 'not run'. All attempts of a request have the same id; a second attempt at the same upstream could use the pooled connection of the first one, where a repeated rejection bears the right id.

Change: a response that names no request fails the attempt as one that may have run. A request that is sent to an upstream again gets a new connection.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -66,10 +66,10 @@
     val mayRetry: Boolean get() = listener.mayRetry
     val sentAtMillis: Long = context.clock.nowMillis()
 
-    /** Sends [request] on a new connection or a pooled one that was idle for at most [maxIdleMillis] milliseconds. */
-    fun start(request: FullHttpRequest, maxIdleMillis: Long) {
+    /** Sends [request] on a connection that [reuse] admits. */
+    fun start(request: FullHttpRequest, reuse: ConnectionReuse) {
         upstream.attempts += this
-        context.access.connections.acquire(upstream.entry.address, maxIdleMillis) { result ->
+        context.access.connections.acquire(upstream.entry.address, reuse) { result ->
             when {
                 ended -> {
                     request.release()
@@ -216,8 +216,12 @@
         val head = checkNotNull(response) { "the response body ended without response headers" }
         recordLoad(head)
         val status = head.status()
-        val notRun = head.headers().contains(context.callerInterface.headers.notRun) || status.code() == MISDIRECTED_REQUEST
+        val names = context.callerInterface.headers
+        val notRun = head.headers().contains(names.notRun) || status.code() == MISDIRECTED_REQUEST
         when {
+            // The upstream may have written it for an earlier request on this connection, also one that it rejected.
+            !head.headers().contains(names.attemptId) ->
+                failBroken("the answer ${status.code()} doesn't say to which request it belongs")
             notRun -> fail(FailureKind.REFUSED_UNREAD, SendOutcome.REFUSED, "the upstream answered ${status.code()} unread")
             !isFromUpstream(head) && status.code() < FIRST_ERROR ->
                 fail(
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
@@ -21,6 +21,18 @@
     data class Failed(val reason: String) : ConnectResult
 }
 
+/** Which pooled connections a request may use. */
+internal sealed interface ConnectionReuse {
+    /**
+     * Those that were idle for at most [maxIdleMillis] milliseconds. A short time lowers the risk of using a connection that the
+     * server is about to close.
+     */
+    data class Recent(val maxIdleMillis: Long) : ConnectionReuse
+
+    /** None: the request needs a connection of its own. */
+    data object None : ConnectionReuse
+}
+
 /**
  * Pool of keep-alive connections by address.
  *
@@ -43,14 +55,10 @@
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), settings.keepAliveProbeSeconds)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), settings.keepAliveProbeCount)
 
-    /**
-     * Calls [onResult] with a connection to [address]: a pooled one that was idle for at most [maxIdleMillis], or a new one.
-     *
-     * A short [maxIdleMillis] lowers the risk of using a connection that the server is about to close.
-     */
-    fun acquire(address: String, maxIdleMillis: Long, onResult: (ConnectResult) -> Unit) {
-        val reused = takeIdle(address, maxIdleMillis)
-        if (reused != null) return onResult(ConnectResult.Open(reused, reused = true))
+    /** Calls [onResult] with a connection to [address]: a pooled one that [reuse] admits, or a new one. */
+    fun acquire(address: String, reuse: ConnectionReuse, onResult: (ConnectResult) -> Unit) {
+        val pooled = if (reuse is ConnectionReuse.Recent) takeIdle(address, reuse.maxIdleMillis) else null
+        if (pooled != null) return onResult(ConnectResult.Open(pooled, reused = true))
         connect(address, onResult)
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
@@ -22,7 +22,7 @@
 internal class NettyTransport(private val pool: ConnectionPool) : HttpTransport {
     override suspend fun call(address: String, call: HttpCall, timeoutMillis: Long): Result<HttpReply, HttpFailure> {
         val exchange = Exchange()
-        pool.acquire(address, MAX_IDLE_MILLIS) { exchange.begin(it, request(address, call)) }
+        pool.acquire(address, ConnectionReuse.Recent(MAX_IDLE_MILLIS)) { exchange.begin(it, request(address, call)) }
         val result = withTimeoutOrNull(timeoutMillis) { exchange.reply.await() }
         if (result != null) return result
         exchange.cancel()
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -128,7 +128,7 @@
         val copyFrom = choice.copyFrom?.let { context.access.upstreams.stateOf(it).entry.address }
         val resuming = lifecycle.state == RequestState.STREAMING
         if (!resuming) lifecycle.dispatched()
-        triedUpstreams += upstream.entry.id
+        val sentBefore = !triedUpstreams.add(upstream.entry.id)
         val nowMillis = context.clock.nowMillis()
         upstream.candidate.load.sent(nowMillis, id, choice.cost)
         context.metrics.recordBegunTokens(terms)
@@ -139,7 +139,14 @@
         val leftMillis = minOf(terms.callerDeadlineAtMillis, terms.deadlineAtMillis) - nowMillis
         val attemptTerms = AttemptTerms(upstream.entry.id, copyFrom, leftMillis, progress.lastId)
         val request = buildUpstreamRequest(received, terms, context.callerInterface.headers, attemptTerms)
-        next.start(request, if (route.repeatable) Long.MAX_VALUE else MAX_IDLE_FOR_NON_REPEATABLE_MILLIS)
+        next.start(request, connectionReuse(sentBefore))
+    }
+
+    /** All attempts have the same id, so a response written twice on the connection of an earlier one would pass for the next. */
+    private fun connectionReuse(sentBefore: Boolean): ConnectionReuse = when {
+        sentBefore -> ConnectionReuse.None
+        route.repeatable -> ConnectionReuse.Recent(Long.MAX_VALUE)
+        else -> ConnectionReuse.Recent(MAX_IDLE_FOR_NON_REPEATABLE_MILLIS)
     }
 
     /** Aborts the caller's connection if a stream has started. */
--- a/router/src/test/kotlin/buckthornbay/router/gateway/ConnectionPoolTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/ConnectionPoolTest.kt
@@ -22,7 +22,7 @@
             val outcome = CompletableFuture<Outcome>()
             eventLoop.execute {
                 val pool = ConnectionPool(eventLoop, SystemClock, PoolSettings(), ChannelFactory { error("too many open files") })
-                pool.acquire("127.0.0.1:1", maxIdleMillis = 0) { outcome.complete(Outcome(it, eventLoop.inEventLoop())) }
+                pool.acquire("127.0.0.1:1", ConnectionReuse.None) { outcome.complete(Outcome(it, eventLoop.inEventLoop())) }
             }
             val seen = outcome.get(5, TimeUnit.SECONDS)
             assertIs<ConnectResult.Failed>(seen.result)
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamContractTest.kt
@@ -3,6 +3,8 @@
 import buckthornbay.testkit.platform.ScriptedExchange
 import buckthornbay.testkit.platform.tokenCountHeader
 import kotlinx.coroutines.delay
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -50,6 +52,18 @@
         Row("not run", charge = 200 to 2) {
             it.answer("503 Service Unavailable", more = "X-Buckthornbay-Not-Run: 1\r\n", signed = false)
         },
+        Row("not run, for no request in particular", charge = 502 to 1) {
+            it.write("HTTP/1.1 503 Service Unavailable\r\nX-Buckthornbay-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        },
+        Row("misdirected, for no request in particular", charge = 502 to 1) {
+            it.write("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+        },
+        Row("server error, for no request in particular", charge = 502 to 1) {
+            it.write("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+        },
+        Row("not found, for no request in particular", charge = 502 to 1) {
+            it.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+        },
         Row("misdirected request", charge = 200 to 2) { it.answer("421 Misdirected Request", signed = false) },
         Row("503 without the not-run header", charge = 502 to 1) { it.answer("503 Service Unavailable") },
         Row("429 without the not-run header", charge = 502 to 1, read = 429 to 1) { it.answer("429 Too Many Requests") },
@@ -105,6 +119,42 @@
         }
     }
 
+    /**
+     * The only upstream rejects a request, gets it again, and writes the rejection once more before it runs the request.
+     *
+     * The second attempt waits for requests that were sent before, so that the connection of the first one is idle again.
+     */
+    @Test
+    fun aRejectionThatIsWrittenAgainSaysNothingAboutTheNextAttempt() = GatewayFixture.run {
+        val first = AtomicReference<ScriptedExchange>()
+        val rejected = CountDownLatch(1)
+        val upstream = upstream("plain-1", "plain") { exchange ->
+            when {
+                "slow" in exchange.request.line -> {
+                    rejected.await()
+                    Thread.sleep(50)
+                    exchange.answer(more = "Connection: close\r\n")
+                }
+                first.compareAndSet(null, exchange) -> {
+                    exchange.reject()
+                    rejected.countDown()
+                }
+                else -> {
+                    first.get().reject()
+                    Thread.sleep(100)
+                    exchange.answer()
+                }
+            }
+        }
+        awaitReady()
+        val others = List(7) { number -> caller().also { it.send(request("/read/slow", "slow-$number")) } }
+        GatewayFixture.awaitTrue("the other requests arrived") { upstream.requests.size == others.size }
+        val answer = call(request("/charge/x", method = "POST", body = "a"))
+        val charges = upstream.requests.count { "charge" in it.line }
+        assertEquals(200 to 2, answer.status to charges, answer.body)
+        others.forEach { caller -> assertEquals(200, caller.use { it.answer() }.status) }
+    }
+
     private fun ScriptedExchange.beginEvents() =
         write("HTTP/1.1 200 OK\r\n${requiredHeaders()}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 
