Keep odd registrations from costing the others

Cause: a page of the store was decoded as a whole, so that one object whose name is no text, or that is nested deeply, made the list or the watch fail for good: a stack overflow ended the coroutine that watched. Addresses such as 999.1.1.1 passed the check and were looked up as names on the event loop, and an address that can't be parsed threw out of whatever sent to it; a peer whose fetch threw never fetched again. Unreadable registrations were passed on to peers, where a few long ones exceed the size of a message.

Only registrations that name an upstream are passed on. Loops that throw are logged and start again.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
@@ -25,7 +25,7 @@
     val isNeeded: Boolean get() = membership.live().size > MAX_PAIRWISE_HOSTS
 
     fun start(scope: CoroutineScope) {
-        scope.launch {
+        scope.launchLoop("exchange of accounts", log) {
             while (true) {
                 if (isNeeded) aggregation.targets().forEach { target -> scope.launch { exchange(target) } }
                 delay(PERIOD_MILLIS.milliseconds)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
@@ -103,7 +103,11 @@
 
     private fun connect(address: String, onResult: (ConnectResult) -> Unit) {
         val connection = HttpConnection(clock) { release(address, it) }
-        val target = socketAddressOf(address)
+        val target = try {
+            socketAddressOf(address)
+        } catch (e: IllegalArgumentException) {
+            return onResult(ConnectResult.Failed(e.message.orEmpty()))
+        }
         val handlers = object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) = connection.install(channel)
         }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/FleetView.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/FleetView.kt
@@ -8,6 +8,7 @@
 import buckthornbay.protocol.UpstreamId
 import buckthornbay.store.CollectionChange
 import buckthornbay.store.CollectionObject
+import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.getOrElse
 import kotlinx.serialization.json.JsonElement
 
@@ -59,8 +60,9 @@
     /** Replaces the list of upstreams by that of [revision]; ignores a list older than the current one. */
     fun replaceRegistrations(objects: List<CollectionObject>, revision: Long, source: String) {
         if (registryLoaded && revision < registry.revision) return
-        registrations.replaceAll(objects, revision)
-        registry.replaceAll(clock.nowMillis(), objects.mapNotNull(::entryOf), revision)
+        val readable = objects.mapNotNull { stored -> entryOf(stored)?.let { stored to it } }
+        registrations.replaceAll(readable.map { it.first }, revision)
+        registry.replaceAll(clock.nowMillis(), readable.map { it.second }, revision)
         registryLoaded = true
         log.stateChange("event=upstreams_listed count=${objects.size} revision=$revision source=$source")
         onChange()
@@ -76,23 +78,41 @@
     private fun apply(change: CollectionChange, revision: Long) {
         when (change) {
             is CollectionChange.Put -> {
+                val entry = entryOf(change.stored) ?: return remove(change.stored.name, revision)
                 registrations.put(change.stored, revision)
-                val entry = entryOf(change.stored)
-                if (entry == null) return registry.removed(clock.nowMillis(), UpstreamId(change.stored.name), revision)
                 registry.put(entry, revision)
                 log.stateChange("event=upstream_registered upstream=${entry.id} draining=${entry.draining} revision=$revision")
             }
             is CollectionChange.Removed -> {
-                registrations.remove(change.name, revision)
-                registry.removed(clock.nowMillis(), UpstreamId(change.name), revision)
+                remove(change.name, revision)
                 log.stateChange("event=upstream_removed upstream=${change.name} revision=$revision")
             }
         }
     }
 
-    private fun entryOf(stored: CollectionObject): UpstreamEntry? =
-        format.registration(stored.name, stored.value).getOrElse { problem ->
+    private fun remove(name: String, revision: Long) {
+        registrations.remove(name, revision)
+        registry.removed(clock.nowMillis(), UpstreamId(name), revision)
+    }
+
+    /** Returns the decoded registration, or null if it names no upstream; such registrations are not passed on to peers. */
+    private fun entryOf(stored: CollectionObject): UpstreamEntry? {
+        val decoded = if (stored.value.toString().length > MAX_REGISTRATION_CHARS) {
+            Err("it is longer than $MAX_REGISTRATION_CHARS characters")
+        } else {
+            format.registration(stored.name, stored.value)
+        }
+        return decoded.getOrElse { problem ->
             log.warning("event=registration_unreadable upstream=${stored.name} reason=\"$problem\"")
             null
         }
+    }
+
+    private companion object {
+        /**
+         * Longest registration, in characters of JSON. Upstreams write some 200; peers send each other all registrations in one
+         * message, which a few very long ones would make too large.
+         */
+        const val MAX_REGISTRATION_CHARS = 16_384
+    }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -122,6 +122,7 @@
             registry,
             StoreReachability(watcherSelection, clock, log, peers::watchesStore),
             random,
+            log,
         )
     private val retryBudgets = RetryBudgets(
         settings.bounds.run { RetrySettings(retryRatio, (retryWindowSeconds * MILLIS_PER_SECOND).toLong(), retrySlack) },
@@ -166,7 +167,7 @@
         listeners.listen(settings.listen.callers, callers)
         settings.listen.run { listOfNotNull(readiness, control, addresses, metrics) }.distinct()
             .forEach { listeners.listen(it, hostHandler) }
-        scope.launch { runMaintenance() }
+        scope.launchLoop("maintenance", log) { runMaintenance() }
         scope.launch { watcher.start(scope) }
         scope.launch { quarantineStore.read(crashWatch::restore) }
         scope.launch { peers.start() }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerBody.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerBody.kt
@@ -1,8 +1,8 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.protocol.WireJson
+import buckthornbay.protocol.withLimitedNesting
 import kotlinx.serialization.DeserializationStrategy
-import kotlinx.serialization.SerializationException
 
 /**
  * Decodes the [body] of a message from [peer]; returns null and logs the reason if that fails.
@@ -15,8 +15,8 @@
     log: DecisionLog,
     peer: String = "unnamed",
 ): T? = try {
-    WireJson.decodeFromString(deserializer, body)
-} catch (e: SerializationException) {
+    WireJson.decodeFromString(deserializer, body.withLimitedNesting())
+} catch (e: IllegalArgumentException) {
     log.warning("event=peer_unreadable peer=$peer reason=\"${e.message}\"")
     null
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -88,7 +88,7 @@
 
     fun start() {
         accountsExchange.start(scope)
-        scope.launch {
+        scope.launchLoop("gossip", log) {
             while (true) {
                 tick()
                 delay(TICK_MILLIS.milliseconds)
@@ -154,11 +154,14 @@
         if (fetching || (!newerConfiguration && !newerRegistrations)) return
         fetching = true
         scope.launch {
-            if (watchesStore()) delay(STORE_HEAD_START_MILLIS.milliseconds)
-            val behind = message.heartbeat.stateVersion > fleetView.configurationVersion ||
-                message.registryRevision > fleetView.registryRevision
-            if (behind) fetch(url)
-            fetching = false
+            try {
+                if (watchesStore()) delay(STORE_HEAD_START_MILLIS.milliseconds)
+                val behind = message.heartbeat.stateVersion > fleetView.configurationVersion ||
+                    message.registryRevision > fleetView.registryRevision
+                if (behind) fetch(url)
+            } finally {
+                fetching = false
+            }
         }
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -15,7 +15,6 @@
 import com.github.michaelbull.result.map
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.apache.commons.rng.UniformRandomProvider
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -65,10 +64,11 @@
     private val registry: UpstreamRegistry,
     private val reachability: StoreReachability,
     private val random: UniformRandomProvider,
+    private val log: DecisionLog,
 ) {
     fun start(scope: CoroutineScope) {
-        scope.launch { keepInSync(WatchedConfiguration()) }
-        scope.launch { keepInSync(WatchedRegistrations()) }
+        scope.launchLoop("watch of the configuration", log) { keepInSync(WatchedConfiguration()) }
+        scope.launchLoop("watch of the registrations", log) { keepInSync(WatchedRegistrations()) }
     }
 
     /** A collection of the store that is kept in sync. */
--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -107,7 +107,7 @@
     }
 
     /** Returns the registrations that the gateway sends to a peer that has none. */
-    private fun knownRegistrations(): Map<String, JsonElement> = caller(settings.listen.control).use { caller ->
+    fun knownRegistrations(): Map<String, JsonElement> = caller(settings.listen.control).use { caller ->
         caller.send("GET /v1/peers/snapshot HTTP/1.1\r\nHost: x\r\n\r\n")
         WireJson.decodeFromString(PeerSnapshot.serializer(), caller.answer().body).registrations?.put.orEmpty()
     }
--- a/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
@@ -2,14 +2,19 @@
 
 import arrow.fx.coroutines.resourceScope
 import buckthornbay.testkit.platform.PlatformStoreServer
+import buckthornbay.testkit.platform.buildRegistration
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonUnquotedLiteral
+import kotlinx.serialization.json.jsonObject
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /** Tests that a host keeps serving while the store fails or delivers invalid objects. */
+@OptIn(ExperimentalSerializationApi::class)
 class StoreContractTest {
     private companion object {
         /**
@@ -20,6 +25,31 @@
 
         /** Time after the last change of a registration until the gateway waits for the next one again. */
         const val WATCH_RESTART_MILLIS = 400L
+
+        /** Registrations that another writer left, as JSON; each names no upstream that can be used. */
+        val ODD_REGISTRATIONS = listOf(
+            "[".repeat(NESTING) + "]".repeat(NESTING),
+            "{\"a\":".repeat(NESTING) + "1" + "}".repeat(NESTING),
+            oddRegistration("Backend", "[".repeat(NESTING) + "]".repeat(NESTING)),
+            oddRegistration("Slots", "1e400"),
+            oddRegistration("Slots", "9".repeat(30)),
+            oddRegistration("born", "9".repeat(30)),
+            oddRegistration("Seq", "-1e999"),
+            oddRegistration("Address", "\"127.0.0.1:70000\""),
+            oddRegistration("Address", "\"127.0.0.1:0\""),
+            oddRegistration("Address", "\"999.1.1.1:80\""),
+            oddRegistration("Address", "\"localhost:80\""),
+            oddRegistration("Note", "\"${"x".repeat(200_000)}\""),
+        )
+
+        /** Depth at which recursive parsers overflow any usual stack. */
+        const val NESTING = 100_000
+
+        /** Returns a valid registration, but for the [value] of [field]. */
+        fun oddRegistration(field: String, value: String): String {
+            val fields = buildRegistration("plain", "127.0.0.1:1").jsonObject.mapValues { it.value.toString() } + (field to value)
+            return fields.entries.joinToString(",", "{", "}") { (name, text) -> "\"$name\":$text" }
+        }
     }
 
     private fun GatewayFixture.read(id: String = "id") = call(request("/read/x", id))
@@ -78,6 +108,28 @@
         repeat(20) { assertEquals(200, read("id-$it").status) }
     }
 
+    /** Another writer leaves odd registrations, before the host starts and while it watches. */
+    @Test
+    fun oddRegistrationsCostNoOther() = GatewayFixture.run(
+        prepare = {
+            manifest()
+            ODD_REGISTRATIONS.forEachIndexed { index, text -> store.put("servers", "odd-$index", JsonUnquotedLiteral(text)) }
+        },
+    ) {
+        upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        repeat(10) { assertEquals(200, read("id-$it").status) }
+        ODD_REGISTRATIONS.forEachIndexed { index, text ->
+            store.put("servers", "late-$index", JsonUnquotedLiteral(text))
+            upstream("plain-added-$index", "plain") { it.answer() }
+            GatewayFixture.awaitTrue("the upstream beside odd registration $index is known", limitMillis = 2_500) {
+                assertEquals(200, read("id-$index").status)
+                "plain-added-$index" in knownRegistrations()
+            }
+        }
+        assertEquals(emptySet(), knownRegistrations().keys.filter { it.startsWith("odd") || it.startsWith("late") }.toSet())
+    }
+
     @Test
     fun aDrainingUpstreamGetsNoNewRequests() = GatewayFixture.run {
         val leaving = upstream("plain-1", "plain") { it.answer() }
