Send nothing new to an upstream that says that it leaves

Cause: nothing read the header by which an upstream states in its responses that it is shutting down; a host used it until the store said so, and again when a registration said 'ready'.

Change: the statement holds for the incarnation that made it, in this host only, whatever the store says. It is read from every response to a request of this host before that response is acted on, so that a retry goes elsewhere. When the last upstream of a service leaves, callers are refused at once.

--- a/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
@@ -39,8 +39,10 @@
  *
  * Registrations expire during a store outage even if the upstream is alive. An upstream whose registration disappears around an
  * outage therefore remains usable until [GRACE_AFTER_RECOVERY_MILLIS] after the store has recovered.
+ *
+ * @param notices what upstreams have stated to this host; one that is leaving is not used, even if its registration is ready.
  */
-public class UpstreamRegistry {
+public class UpstreamRegistry(private val notices: UpstreamNotices = UpstreamNotices()) {
     private class Registration(var entry: UpstreamEntry, var graceEndsAtMillis: Long? = null)
 
     private val registrations = LinkedHashMap<UpstreamId, Registration>()
@@ -54,7 +56,7 @@
 
     /** Returns the upstreams of [service] that may receive new requests. */
     public fun usable(service: ServiceId): List<UpstreamEntry> =
-        registrations.values.filter { it.entry.service == service && !it.entry.draining }.map { it.entry }
+        registrations.values.map { it.entry }.filter { it.service == service && !it.draining && !notices.isLeaving(it) }
 
     /** Returns the upstream [id], even if it is draining, or null if it is unknown. */
     public fun find(id: UpstreamId): UpstreamEntry? = registrations[id]?.entry
--- a/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
+++ b/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
@@ -14,6 +14,7 @@
  * @property expectedUpstream the only upstream that may run the request.
  * @property load load reported by an upstream.
  * @property requestRateLimit requests per second that an upstream takes from all hosts together.
+ * @property leaving states whether the upstream is shutting down.
  * @property notRun marks a response of an upstream that did not run the request.
  * @property tokenDemand numbers of prompt and output tokens.
  * @property promptParts shared prefixes of the prompt.
@@ -30,6 +31,7 @@
     public val expectedUpstream: String,
     public val load: String,
     public val requestRateLimit: String,
+    public val leaving: String,
     public val notRun: String,
     public val tokenDemand: String,
     public val promptParts: String,
@@ -66,6 +68,9 @@
     /** Decodes the load reported by an upstream; returns null if it is malformed. */
     public fun loadReport(value: String): LoadReport?
 
+    /** Decodes whether an upstream is shutting down. */
+    public fun isLeaving(value: String): Boolean
+
     /** Decodes the request rate limit that an upstream states, in requests per second; returns null if it is malformed. */
     public fun requestRateLimit(value: String): Double?
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -16,6 +16,7 @@
     val retryBudgets: RetryBudgets,
     val crashWatch: CrashWatch,
     val rateLimits: RateLimitWatch,
+    val notices: NoticeWatch,
 )
 
 /** The components that request handlers share. All of them are confined to one event loop. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -20,6 +20,7 @@
 import buckthornbay.core.membership.rendezvousOrder
 import buckthornbay.core.quarantine.PromptQuarantine
 import buckthornbay.core.quarantine.QuarantineChange
+import buckthornbay.core.registry.UpstreamNotices
 import buckthornbay.core.registry.UpstreamRegistry
 import buckthornbay.core.wire.CallerInterface
 import buckthornbay.core.wire.FleetFormat
@@ -59,7 +60,8 @@
     private val incarnation = System.currentTimeMillis()
     private val random = RandomSource.SPLIT_MIX_64.create(incarnation xor settings.host.value.hashCode().toLong())
     private val log = DecisionLog(clock)
-    private val registry = UpstreamRegistry()
+    private val notices = UpstreamNotices()
+    private val registry = UpstreamRegistry(notices)
     private val regions = settings.zones.associate { it.name to it.region }
     private val startedWork = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND)
     private val accounts =
@@ -71,6 +73,7 @@
     private val shares = FairShares(accounts.requestedWork, hostOrder)
     private val metrics = GatewayMetrics()
     private val rateLimits = RateLimitWatch(deployment.callerInterface, clock, log, metrics)
+    private val noticeWatch = NoticeWatch(deployment.callerInterface, notices, log)
     private val rateDivision = RateLimitDivision({ hostOrder.count }, shares::segment, rateLimits::perUpstream)
     private val upstreams =
         UpstreamTable(registry, { regions[it] }, clock, { shares.hostFraction(clock.nowMillis()) }) { upstream, nowMillis ->
@@ -132,7 +135,7 @@
         clock,
         eventLoop,
         deployment.callerInterface,
-        UpstreamAccess(upstreams, connections, retryBudgets, crashWatch, rateLimits),
+        UpstreamAccess(upstreams, connections, retryBudgets, crashWatch, rateLimits, noticeWatch),
         Admission(AdmissionPolicy(random), shares, CallerRetryTracker()),
         accounts,
         log,
@@ -157,6 +160,10 @@
             quarantineStore.readAfterCrash(crashWatch::restore)
         }
         rateLimits.onChange = peers::announce
+        noticeWatch.onLeaving = {
+            upstreams.refresh()
+            eventLoop.execute(context.dispatcher::placeAll)
+        }
         crashWatch.onQuarantined = ::endQuarantinedRequests
         crashWatch.onChange = { change ->
             when (change) {
--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -76,8 +76,15 @@
         return upstream
     }
 
-    fun register(id: String, service: String, address: String, state: String = "ready", sequence: Int = 1) {
-        val registration = buildRegistration(service, address, state, sequence)
+    fun register(
+        id: String,
+        service: String,
+        address: String,
+        state: String = "ready",
+        sequence: Int = 1,
+        startedAtMillis: Long = 1_000,
+    ) {
+        val registration = buildRegistration(service, address, state, sequence, startedAtMillis)
         registered[id] = registration
         store.put("servers", id, registration)
     }
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformDocuments.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformDocuments.kt
@@ -167,8 +167,15 @@
  *
  * @param state `ready` or `draining`.
  * @param sequence number of the write, incremented by the upstream, so that a delayed write is recognized as stale.
+ * @param startedAtMillis Unix time at which the upstream started, in milliseconds; identifies its incarnation.
  */
-public fun buildRegistration(service: String, address: String, state: String = "ready", sequence: Int = 1): JsonElement =
+public fun buildRegistration(
+    service: String,
+    address: String,
+    state: String = "ready",
+    sequence: Int = 1,
+    startedAtMillis: Long = STARTED_AT_MILLIS,
+): JsonElement =
     buildJsonObject {
         put("Backend", service)
         put("Address", address)
@@ -178,7 +185,7 @@
         put("State", state)
         put("ColdLeftMs", 0)
         put("Seq", sequence)
-        put("born", STARTED_AT_MILLIS)
+        put("born", startedAtMillis)
     }
 
 /** Formats an HTTP request for [target] with the headers that every caller of the platform sends and the header lines [more]. */
