Leave upstreams alone for the time that they ask for with a rejection

Cause: the Retry-After of an upstream's 503 was not read; a host went on sending at the pace of its load estimate, and a service whose upstreams all reject kept requests in the queue until their time was over.

Change: the pause holds for the incarnation, in this host; the longest of several counts. It applies to placement, retries and resumptions alike. Requests that no upstream can take before their queueing time ends, because all pause or can't be reached, are refused at once with the time of the end, plus a random part so that callers don't return together.

--- a/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AdmissionPolicy.kt
@@ -52,6 +52,14 @@
         return minDelayMillis + random.nextDouble() * (maxDelayMillis - minDelayMillis)
     }
 
+    /**
+     * Returns the delay after which a caller should retry that was refused because nothing can be served for [pauseMillis].
+     *
+     * The delay is random beyond the pause, so that callers refused during it don't all retry at its end.
+     */
+    public fun retryAfterPauseMillis(route: Route, pauseMillis: Long): Double =
+        pauseMillis + random.nextDouble() * objectiveOf(route) * settings.minRetryDelayFraction
+
     /** Returns the latency objective of [route]; its timeout if it has none. */
     private fun objectiveOf(route: Route): Long = route.objectiveMillis ?: route.timeoutMillis
 }
--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -36,8 +36,12 @@
     /** Sends the request to the upstream of [choice]. */
     public fun send(choice: Choice)
 
-    /** Ends the request because no upstream can serve it. */
-    public fun refuse(reason: String)
+    /**
+     * Ends the request because no upstream can serve it.
+     *
+     * @param retryAfterMillis time after which the cause ends, in milliseconds; null if it depends on the load.
+     */
+    public fun refuse(reason: String, retryAfterMillis: Long? = null)
 }
 
 /**
@@ -107,6 +111,7 @@
         queue.add(waiting)
         place(request.service)
         refuseUnservable(request.service)
+        refuseDuringPause(request.service)
     }
 
     /** Removes [request] from its queue, if it is queued. */
@@ -136,6 +141,23 @@
             val unservable = if (candidates(service).isEmpty()) queueFor(service).removeAll() else emptyList()
             unservable.forEach { it.request.refuse("no upstream of the service may be used") }
             place(service)
+            refuseDuringPause(service)
+        }
+    }
+
+    /**
+     * Refuses requests that would wait in vain, because no upstream of [service] may be used in time.
+     *
+     * Load: all upstreams of a service reject requests and name a pause, or none accepts connections.
+     */
+    private fun refuseDuringPause(service: ServiceId) {
+        if (service in placing) return
+        val nowMillis = clock.nowMillis()
+        val usableFromMillis = candidates(service).minOfOrNull { it.usableFromMillis } ?: return
+        if (usableFromMillis <= nowMillis) return
+        queueFor(service).waitingUntilBefore(usableFromMillis).map { it.request }.forEach { request ->
+            withdraw(request)
+            request.refuse("all upstreams of the service pause or can't be reached", usableFromMillis - nowMillis)
         }
     }
 
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -93,6 +93,10 @@
         }
     }
 
+    /** Returns the requests that may stay queued until a time before [millis] at most. */
+    public fun waitingUntilBefore(millis: Long): List<QueuedRequest<T>> =
+        byWorkspace.values.flatten().filter { it.queueUntilMillis < millis }
+
     /** Removes and returns all requests. */
     public fun removeAll(): List<QueuedRequest<T>> = byWorkspace.values.flatten().also {
         byWorkspace.clear()
--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -9,6 +9,7 @@
  *
  * @property region region of the upstream; null if it is unknown.
  * @property cache model of the engine's prefix cache; null for a plain service.
+ * @param pausedUntilMillis time until which the upstream wants no requests from this host, in milliseconds.
  */
 public class Candidate(
     public val id: UpstreamId,
@@ -16,7 +17,11 @@
     public val load: UpstreamLoad,
     public val reliability: UpstreamReliability,
     public val cache: PrefixCacheModel?,
-)
+    private val pausedUntilMillis: () -> Long = { Long.MIN_VALUE / 2 },
+) {
+    /** Time from which the upstream may be used, in milliseconds: the end of its pause and of the backoff after a failure. */
+    public val usableFromMillis: Long get() = maxOf(pausedUntilMillis(), reliability.backoffUntilMillis)
+}
 
 /**
  * The upstream chosen for a request.
@@ -51,7 +56,7 @@
      * that has room.
      */
     public fun choose(nowMillis: Long, candidates: List<Candidate>, demand: TokenDemand?, waitForBest: Boolean): Choice? {
-        val usable = candidates.filter { it.reliability.isUsable(nowMillis) }
+        val usable = candidates.filter { it.usableFromMillis <= nowMillis }
         // Under load nearly every call returns here, before the cost of rendezvous hashing.
         if (usable.none { it.load.hasRoom(nowMillis, minCostOf(demand)) }) return null
         val preferred = preferredEnginesOf(demand?.sharedPart, usable)
--- a/core/src/main/kotlin/buckthornbay/core/load/UpstreamReliability.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/UpstreamReliability.kt
@@ -9,11 +9,11 @@
 public class UpstreamReliability(private val settings: UpstreamReliabilitySettings = UpstreamReliabilitySettings()) {
     private var failureRate = 0.0
     private var failureSeenAtMillis = 0L
-    private var backoffUntilMillis = Long.MIN_VALUE / 2
     private var backoffMillis = 0L
 
-    /** Returns whether the upstream may be used now; after a failed connection it is skipped until the backoff ends. */
-    public fun isUsable(nowMillis: Long): Boolean = nowMillis >= backoffUntilMillis
+    /** Time until which the upstream is skipped after a failed connection, in milliseconds. */
+    public var backoffUntilMillis: Long = Long.MIN_VALUE / 2
+        private set
 
     /** Returns the expected fraction of requests that fail, from 0 to 1. */
     public fun expectedFailureRate(nowMillis: Long): Double {
--- a/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
+++ b/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
@@ -15,6 +15,7 @@
  * @property load load reported by an upstream.
  * @property requestRateLimit requests per second that an upstream takes from all hosts together.
  * @property leaving states whether the upstream is shutting down.
+ * @property pause time for which an upstream that rejects a request wants no others from this host.
  * @property notRun marks a response of an upstream that did not run the request.
  * @property tokenDemand numbers of prompt and output tokens.
  * @property promptParts shared prefixes of the prompt.
@@ -32,6 +33,7 @@
     public val load: String,
     public val requestRateLimit: String,
     public val leaving: String,
+    public val pause: String,
     public val notRun: String,
     public val tokenDemand: String,
     public val promptParts: String,
@@ -71,6 +73,9 @@
     /** Decodes whether an upstream is shutting down. */
     public fun isLeaving(value: String): Boolean
 
+    /** Decodes the time for which an upstream wants no requests, in milliseconds; returns null if it is malformed. */
+    public fun pauseMillis(value: String): Long?
+
     /** Decodes the request rate limit that an upstream states, in requests per second; returns null if it is malformed. */
     public fun requestRateLimit(value: String): Double?
 }
--- a/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
@@ -27,6 +27,8 @@
     private var onSent = {}
     private val sent = ArrayList<String>()
     private val refused = ArrayList<String>()
+    private val retryAfter = ArrayList<Long?>()
+    private var pausedUntilMillis = 0L
     private val startedWork = FleetAccounts(4_000.0)
     private val upstream = Candidate(
         UpstreamId("engine"),
@@ -34,7 +36,7 @@
         RateLimitedLoad(GatedLoad(PlainLoad(slots = 64))) { limit },
         UpstreamReliability(),
         cache = null,
-    )
+    ) { pausedUntilMillis }
     private val dispatcher =
         Dispatcher({ listOf(upstream) }, startedWork, FleetBacklog(startedWork), Placement(region), clock)
 
@@ -61,8 +63,9 @@
             onSent()
         }
 
-        override fun refuse(reason: String) {
+        override fun refuse(reason: String, retryAfterMillis: Long?) {
             refused += id
+            retryAfter += retryAfterMillis
         }
     }
 
@@ -109,6 +112,23 @@
         assertEquals(36, dispatcher.waitingCount)
     }
 
+    @Test
+    fun requestsThatAPauseOutlastsAreRefusedWithTheTimeOfItsEnd() {
+        pausedUntilMillis = QUEUE_MILLIS + 1
+        submit(1..3)
+        assertEquals(listOf("1", "2", "3"), refused)
+        assertEquals(List<Long?>(3) { QUEUE_MILLIS + 1 }, retryAfter)
+        pausedUntilMillis = QUEUE_MILLIS
+        submit(4..5)
+        assertEquals(2, dispatcher.waitingCount, "the pause ends in time")
+        pausedUntilMillis = 10 * QUEUE_MILLIS
+        dispatcher.placeAll()
+        assertEquals(0 to 5, dispatcher.waitingCount to refused.size, "the pause became longer while they waited")
+        nowMillis = pausedUntilMillis
+        submit(6..6)
+        assertEquals(listOf("6"), sent)
+    }
+
     private companion object {
         /** Time that a request may stay queued, in milliseconds: three tenths of an objective of 800 ms. */
         const val QUEUE_MILLIS = 240L
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -279,11 +279,11 @@
             refuse("no upstream had room in time")
         }
 
-        override fun refuse(reason: String) {
+        override fun refuse(reason: String, retryAfterMillis: Long?) {
             val nowMillis = clock.nowMillis()
-            val retryAfterMillis = host.admission.policy.retryAfterMillis(route, caller.deadlineMillis - nowMillis)
+            val delayMillis = host.admission.policy.retryAfterMillis(route, caller.deadlineMillis - nowMillis)
             host.admission.priorWaits.recordRefusal(nowMillis, fingerprint, nowMillis - firstReceivedAtMillis)
-            caller.refused(host, retryAfterMillis, retriesLeft)
+            caller.refused(host, delayMillis, retriesLeft)
         }
 
         override fun send(choice: Choice) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -127,7 +127,7 @@
         this.response = response
         if (echoed != null && response.status().code() != MISDIRECTED_REQUEST) {
             context.access.rateLimits.responseStarted(upstream.entry, id, response.headers(), genuine = isFromUpstream(response))
-            context.access.notices.responseStarted(upstream.entry, id, response.headers())
+            context.access.notices.responseStarted(upstream.entry, id, response)
         }
         if (expectsEventStream && isEventStream(response)) framing = EventStreamFraming(context.allocator)
         return true
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -16,7 +16,9 @@
     fun refuse(reason: String, retryAfterMillis: Long? = null) {
         val nowMillis = context.clock.nowMillis()
         val leftMillis = terms.callerDeadlineAtMillis - nowMillis
-        val delayMillis = retryAfterMillis?.toDouble() ?: context.admission.policy.retryAfterMillis(terms.route, leftMillis)
+        val policy = context.admission.policy
+        val delayMillis = retryAfterMillis?.let { policy.retryAfterPauseMillis(terms.route, it) }
+            ?: policy.retryAfterMillis(terms.route, leftMillis)
         val retryAfterSeconds = twoDecimals(delayMillis / MILLIS_PER_SECOND)
         terms.fingerprint?.let {
             context.admission.priorWaits.recordRefusal(nowMillis, it, nowMillis - terms.firstReceivedAtMillis)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -73,6 +73,14 @@
         "event=rate_limit_unreadable upstream=$upstream id=$id values=\"${values.joinToString()}\""
     }
 
+    fun pause(upstream: UpstreamId, id: String, pauseMillis: Long) = logRequestLine {
+        "event=upstream_pause upstream=$upstream id=$id pause_ms=$pauseMillis"
+    }
+
+    fun pauseUnreadable(upstream: UpstreamId, id: String, values: List<String>) = logRequestLine {
+        "event=upstream_pause_unreadable upstream=$upstream id=$id values=\"${values.joinToString()}\""
+    }
+
     /** Logs a change of this host's state or of its view of the fleet. Such lines are rare and not rate-limited. */
     fun stateChange(message: String) = logger.info { message }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -73,10 +73,10 @@
     private val shares = FairShares(accounts.requestedWork, hostOrder)
     private val metrics = GatewayMetrics()
     private val rateLimits = RateLimitWatch(deployment.callerInterface, clock, log, metrics)
-    private val noticeWatch = NoticeWatch(deployment.callerInterface, notices, log)
+    private val noticeWatch = NoticeWatch(deployment.callerInterface, notices, clock, log)
     private val rateDivision = RateLimitDivision({ hostOrder.count }, shares::segment, rateLimits::perUpstream)
     private val upstreams =
-        UpstreamTable(registry, { regions[it] }, clock, { shares.hostFraction(clock.nowMillis()) }) { upstream, nowMillis ->
+        UpstreamTable(registry, { regions[it] }, clock, notices, { shares.hostFraction(clock.nowMillis()) }) { upstream, nowMillis ->
             rateDivision.ownRate(nowMillis, upstream.incarnation)
         }
     private val connections = ConnectionPool(eventLoop, clock, PoolSettings())
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -150,11 +150,11 @@
     }
 
     /** Aborts the caller's connection if a stream has started. */
-    override fun refuse(reason: String) {
+    override fun refuse(reason: String, retryAfterMillis: Long?) {
         if (ended) return
         queueEntry = null
         if (lifecycle.state == RequestState.STREAMING) return abortStream(reason)
-        endWith((lifecycle.refused() as FailureAction.End).end, reason)
+        endWith((lifecycle.refused() as FailureAction.End).end, reason, retryAfterMillis)
     }
 
     override fun callerDisconnected() {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
@@ -9,6 +9,7 @@
 import buckthornbay.core.load.SendOutcome
 import buckthornbay.core.load.UpstreamReliability
 import buckthornbay.core.registry.UpstreamEntry
+import buckthornbay.core.registry.UpstreamNotices
 import buckthornbay.core.registry.UpstreamRegistry
 import buckthornbay.core.routing.RouteTable
 import buckthornbay.protocol.RegionId
@@ -42,6 +43,7 @@
     private val registry: UpstreamRegistry,
     private val regionOfZone: (ZoneId) -> RegionId?,
     private val clock: Clock,
+    private val notices: UpstreamNotices,
     private val hostFraction: () -> Double,
     private val ownLimit: (UpstreamEntry, nowMillis: Long) -> Double?,
 ) {
@@ -75,7 +77,10 @@
             if (engine == null) PlainLoad(entry.slots) else EngineLoad(hostFraction = hostFraction),
         ) { nowMillis -> ownLimit(entry, nowMillis) }
         val cache = engine?.let { PrefixCacheModel() }
-        return UpstreamState(entry, Candidate(entry.id, regionOfZone(entry.zone), load, UpstreamReliability(), cache), clock)
+        val candidate = Candidate(entry.id, regionOfZone(entry.zone), load, UpstreamReliability(), cache) {
+            notices.pausedUntilMillis(entry)
+        }
+        return UpstreamState(entry, candidate, clock)
     }
 
     private fun UpstreamEntry.sameIncarnation(other: UpstreamEntry): Boolean =
