Keep each host to its part of all engines together

In a fleet of 72 hosts and 42 engines a host's part of an engine is some 0.3 tokens per ms, a request 12,000 tokens, so that hosts with few callers are not limited for seconds: 20 to 35 of the 42 engines 'had room' at such a host all the time. A host with many callers kept to its part and found the engines full. The rates that hosts learn were equal (91 to 96 tokens per ms), so they were not the cause, as had been suspected.

Change: HostPace, one token bucket per service over the parts of all engines.

--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -3,8 +3,10 @@
 import buckthornbay.core.Clock
 import buckthornbay.core.load.Candidate
 import buckthornbay.core.load.Choice
+import buckthornbay.core.load.HostPace
 import buckthornbay.core.load.Placement
 import buckthornbay.core.load.TokenDemand
+import buckthornbay.core.load.UpstreamLoad
 import buckthornbay.protocol.ServiceId
 import buckthornbay.protocol.UpstreamId
 import buckthornbay.protocol.WorkspaceId
@@ -73,6 +75,7 @@
     private val clock: Clock,
 ) {
     private val queues = HashMap<ServiceId, FairQueue<DispatchedRequest>>()
+    private val paces = HashMap<ServiceId, HostPace>()
 
     /** Services whose requests are being sent; requests that fail at once may cause further ones to be placed meanwhile. */
     private val placing = HashSet<ServiceId>()
@@ -188,10 +191,13 @@
         val workspace = request.workspaceId
         if (request.rank != WaitingRank.DUE && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
         val usable = candidates(request.service)
+        val pace = request.demand?.let { paces.getOrPut(request.service) { HostPace() } }
+        if (pace?.hasRoom(nowMillis, loadsOf(usable, nowMillis)) == false) return false
         val preferred = usable.filterNot { it.id in request.triedUpstreams }.ifEmpty { usable }
         val choice =
             placement.choose(nowMillis, preferred, request.demand, request.mayWaitForBestUpstream(nowMillis)) ?: return false
         withdraw(request)
+        pace?.sent(choice.cost)
         request.demand?.let { demand ->
             workspace?.let { accounts.charge(nowMillis, it, demand.workTokens) }
             choice.upstream.cache?.recordPrefill(nowMillis, demand)
@@ -200,6 +206,9 @@
         return true
     }
 
+    private fun loadsOf(candidates: List<Candidate>, nowMillis: Long): List<UpstreamLoad> =
+        candidates.filter { it.usableFromMillis <= nowMillis }.map { it.load }
+
     private fun queueFor(service: ServiceId) = queues.getOrPut(service) { FairQueue(accounts) }
 
     private companion object {
--- a/core/src/test/kotlin/buckthornbay/core/admission/LargeFleetFairnessTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/LargeFleetFairnessTest.kt
@@ -17,7 +17,7 @@
     /** The same with fewer and larger engines. */
     @Test
     fun aWorkspaceWhoseCallersUseOneHostGetsItsShareOfLargeEngines() {
-        assertFair(LARGE_ENGINES, planWith { if (it == 1) listOf(7) else null }, seed = 4)
+        for (seed in 1L..4L) assertFair(LARGE_ENGINES, planWith { if (it == 1) listOf(7) else null }, seed)
     }
 
     /** The callers of three workspaces that surge use the hosts of one zone. */
@@ -25,7 +25,7 @@
     fun workspacesWhoseCallersUseOneZoneGetTheirShares() {
         val zone = (0 until SimulatedFleet.HOSTS).filter { it % SimulatedFleet.ZONES == 2 }
         val surges = SURGES + Surge(2, 4.0, 6_500, 16_000) + Surge(3, 5.0, 7_000, 16_000)
-        assertFair(LARGE_ENGINES, planWith(surges) { if (it in 1..3) zone else null }, seed = 5)
+        for (seed in 4L..6L) assertFair(LARGE_ENGINES, planWith(surges) { if (it in 1..3) zone else null }, seed)
     }
 
     private fun assertFair(engines: EngineShape, plan: TrafficPlan, seed: Long) {
