Stop splitting a stream at the event at which its receiver ends it

Cause: a missing event ends the attempt, which releases the buffer from which the events of the same read are still being split.

Change: the splitter returns when its buffer was released.

Result: EventStreamFramingTest.noEventFollowsTheOneAtWhichTheReceiverStops failed with an illegal reference count and passes now.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/EventStreamFraming.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/EventStreamFraming.kt
@@ -18,7 +18,7 @@
     /** Number of buffered bytes of an incomplete event. */
     val incompleteBytes: Int get() = buffer?.readableBytes() ?: 0
 
-    /** Appends [bytes] to the buffer and calls [onEvent] for each event that they complete. */
+    /** Appends [bytes] to the buffer and calls [onEvent] for each event that they complete, until it calls [release]. */
     fun feed(bytes: ByteBuf, onEvent: (StreamEvent) -> Unit) {
         val all = buffer ?: allocator.buffer(bytes.readableBytes().coerceAtLeast(INITIAL_CAPACITY)).also { buffer = it }
         all.writeBytes(bytes)
@@ -27,6 +27,7 @@
             val event = all.readBytes(end)
             scannedBytes = 0
             onEvent(StreamEvent(eventId(event), event))
+            if (buffer !== all) return
         }
         scannedBytes = all.readableBytes()
         if (scannedBytes == 0) release() else all.discardSomeReadBytes()
--- a/router/src/test/kotlin/buckthornbay/router/gateway/EventStreamFramingTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/EventStreamFramingTest.kt
@@ -36,6 +36,20 @@
         assertEquals("id: 2\nda", framing.takeRest()?.toString(Charsets.UTF_8))
     }
 
+    /** A receiver that finds a gap ends the attempt, which releases the framing, while events of the same read are left. */
+    @Test
+    fun noEventFollowsTheOneAtWhichTheReceiverStops() {
+        val framing = EventStreamFraming(UnpooledByteBufAllocator.DEFAULT)
+        val seen = ArrayList<String?>()
+        framing.feed(Unpooled.copiedBuffer(events.joinToString(""), Charsets.UTF_8)) { event ->
+            seen += event.id
+            event.bytes.release()
+            framing.release()
+        }
+        assertEquals(listOf<String?>("1"), seen.toList())
+        assertEquals(0, framing.incompleteBytes)
+    }
+
     @Test
     fun resumedStreamMustContinueAfterTheLastEvent() {
         val progress = StreamProgress()
