Let a host hold a larger burst, so that small fleets are not limited more

Cause: with a burst of 600 ms the limit to all engines together also bound in a fleet of nine hosts.

Change: 1,800 ms, what the limits to single engines let a host of nine send.

--- a/core/src/main/kotlin/buckthornbay/core/load/HostPace.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/HostPace.kt
@@ -45,10 +45,10 @@
         const val MILLIS_PER_SECOND = 1_000.0
 
         /**
-         * Default capacity, in milliseconds of the rate: a usual latency objective, beyond which work that was sent at once would
-         * wait in the engines.
+         * Default capacity, in milliseconds of the rate: what the limits to single engines let a host of a fleet of nine send at
+         * once, 6,000 tokens and a large request to each, so that this limit binds only in larger fleets.
          */
-        const val DEFAULT_BURST_MILLIS = 600.0
+        const val DEFAULT_BURST_MILLIS = 1_800.0
 
         /** Minimum time between two computations of the rate, in milliseconds; it changes with responses and messages of peers. */
         const val REFRESH_MILLIS = 50L
