--- a/core/src/main/kotlin/buckthornbay/core/load/HostPace.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/HostPace.kt
@@ -50,7 +50,7 @@
          */
         const val DEFAULT_BURST_MILLIS = 1_800.0
 
-        /** Minimum time between two computations of the rate, in milliseconds; it changes with responses and messages of peers. */
+        /** Minimum time between two computations of the rate, in milliseconds; messages of peers come less often. */
         const val REFRESH_MILLIS = 50L
     }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -76,7 +76,7 @@
     private val noticeWatch = NoticeWatch(deployment.callerInterface, notices, clock, log)
     private val rateDivision = RateLimitDivision({ hostOrder.count }, shares::segment, rateLimits::perUpstream)
     private val upstreams =
-        UpstreamTable(registry, { regions[it] }, clock, notices, { shares.hostFraction(clock.nowMillis()) }) { upstream, nowMillis ->
+        UpstreamTable(registry, regions::get, clock, notices, { shares.hostFraction(clock.nowMillis()) }) { upstream, nowMillis ->
             rateDivision.ownRate(nowMillis, upstream.incarnation)
         }
     private val connections = ConnectionPool(eventLoop, clock, PoolSettings())
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamNoticeTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UpstreamNoticeTest.kt
@@ -83,36 +83,38 @@
         }
     }
 
-    /** A rejection of each kind names a pause of a second; at most two requests may reach the upstream before it ends. */
     @Test
     fun anUpstreamThatNamesAPauseGetsNoRequestsUntilItEnds() {
-        for (more in listOf(NOT_RUN + "Retry-After: 1\r\n", "Retry-After: 1.0\r\n", NOT_RUN + "Retry-After: 0.2\r\nRetry-After: 1\r\n")) {
-            GatewayFixture.run {
-                val arrivals = CopyOnWriteArrayList<Long>()
-                val pausing = upstream("plain-1", "plain") {
-                    arrivals += System.nanoTime()
-                    if (it.number == 1) it.answer("503 Service Unavailable", more = more) else it.answer()
-                }
-                awaitReady()
-                caller().use { caller ->
-                    caller.send(request("/read/x", "first"))
-                    GatewayFixture.awaitTrue("the request arrived") { arrivals.isNotEmpty() }
-                    upstream("plain-2", "plain") { it.answer() }
-                    awaitReady()
-                    while (System.nanoTime() < arrivals.first() + PAUSE_NANOS) {
-                        assertEquals(200, read().status, more)
-                        delay(10)
-                    }
-                }
-                val duringPause = arrivals.count { it in arrivals.first() + 1 until arrivals.first() + PAUSE_NANOS }
-                assertTrue(duringPause <= 2, "$duringPause requests, $more")
-                store.remove("servers", "plain-2")
-                GatewayFixture.awaitTrue("the upstream is used after its pause") {
-                    read()
-                    pausing.requests.size > 2
-                }
+        expectPause(NOT_RUN + "Retry-After: 1\r\n")
+        expectPause("Retry-After: 1.0\r\n")
+        expectPause(NOT_RUN + "Retry-After: 0.2\r\nRetry-After: 1\r\n")
+    }
+
+    /** An upstream rejects a request with the header lines [more], which name a pause; it may get two requests before it ends. */
+    private fun expectPause(more: String) = GatewayFixture.run {
+        val arrivals = CopyOnWriteArrayList<Long>()
+        val pausing = upstream("plain-1", "plain") {
+            arrivals += System.nanoTime()
+            if (it.number == 1) it.answer("503 Service Unavailable", more = more) else it.answer()
+        }
+        awaitReady()
+        caller().use { caller ->
+            caller.send(request("/read/x", "first"))
+            GatewayFixture.awaitTrue("the request arrived") { arrivals.isNotEmpty() }
+            upstream("plain-2", "plain") { it.answer() }
+            awaitReady()
+            while (System.nanoTime() < arrivals.first() + PAUSE_NANOS) {
+                assertEquals(200, read().status, more)
+                delay(10)
             }
         }
+        val duringPause = arrivals.count { it in arrivals.first() + 1 until arrivals.first() + PAUSE_NANOS }
+        assertTrue(duringPause <= 2, "$duringPause requests, $more")
+        store.remove("servers", "plain-2")
+        GatewayFixture.awaitTrue("the upstream is used after its pause") {
+            read()
+            pausing.requests.size > 2
+        }
     }
 
     @Test
@@ -154,7 +156,13 @@
         for (value in listOf("0", "-5", "soon", "", "NaN", "Infinity", "Wed, 21 Oct 2026 07:28:00 GMT")) {
             GatewayFixture.run {
                 val upstream = upstream("plain-1", "plain") {
-                    if (it.number == 1) it.answer("503 Service Unavailable", more = NOT_RUN + "Retry-After: $value\r\n") else it.answer()
+                    if (it.number ==
+                        1
+                    ) {
+                        it.answer("503 Service Unavailable", more = NOT_RUN + "Retry-After: $value\r\n")
+                    } else {
+                        it.answer()
+                    }
                 }
                 awaitReady()
                 assertEquals(200, read().status, "'$value'")
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformDocuments.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformDocuments.kt
@@ -175,18 +175,17 @@
     state: String = "ready",
     sequence: Int = 1,
     startedAtMillis: Long = STARTED_AT_MILLIS,
-): JsonElement =
-    buildJsonObject {
-        put("Backend", service)
-        put("Address", address)
-        put("Zone", "zone")
-        put("Version", "v1")
-        put("Slots", REGISTERED_SLOTS)
-        put("State", state)
-        put("ColdLeftMs", 0)
-        put("Seq", sequence)
-        put("born", startedAtMillis)
-    }
+): JsonElement = buildJsonObject {
+    put("Backend", service)
+    put("Address", address)
+    put("Zone", "zone")
+    put("Version", "v1")
+    put("Slots", REGISTERED_SLOTS)
+    put("State", state)
+    put("ColdLeftMs", 0)
+    put("Seq", sequence)
+    put("born", startedAtMillis)
+}
 
 /** Formats an HTTP request for [target] with the headers that every caller of the platform sends and the header lines [more]. */
 public fun callerRequest(
