--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -114,7 +114,7 @@
         queue.add(waiting)
         place(request.service)
         refuseUnservable(request.service)
-        refuseDuringPause(request.service)
+        refuseWhileUnusable(request.service)
     }
 
     /** Removes [request] from its queue, if it is queued. */
@@ -144,7 +144,7 @@
             val unservable = if (candidates(service).isEmpty()) queueFor(service).removeAll() else emptyList()
             unservable.forEach { it.request.refuse("no upstream of the service may be used") }
             place(service)
-            refuseDuringPause(service)
+            refuseWhileUnusable(service)
         }
     }
 
@@ -153,7 +153,7 @@
      *
      * Load: all upstreams of a service reject requests and name a pause, or none accepts connections.
      */
-    private fun refuseDuringPause(service: ServiceId) {
+    private fun refuseWhileUnusable(service: ServiceId) {
         if (service in placing) return
         val nowMillis = clock.nowMillis()
         val usableFromMillis = candidates(service).minOfOrNull { it.usableFromMillis } ?: return
@@ -192,7 +192,7 @@
         if (request.rank != WaitingRank.DUE && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
         val usable = candidates(request.service)
         val pace = request.demand?.let { paces.getOrPut(request.service) { HostPace() } }
-        if (pace?.hasRoom(nowMillis, loadsOf(usable, nowMillis)) == false) return false
+        if (pace?.hasRoom(nowMillis) { loadsOf(usable, nowMillis) } == false) return false
         val preferred = usable.filterNot { it.id in request.triedUpstreams }.ifEmpty { usable }
         val choice =
             placement.choose(nowMillis, preferred, request.demand, request.mayWaitForBestUpstream(nowMillis)) ?: return false
--- a/core/src/main/kotlin/buckthornbay/core/load/HostPace.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/HostPace.kt
@@ -17,8 +17,8 @@
     /** The work that this host may send to all engines together, in tokens per millisecond. */
     private class Rate(val tokensPerMilli: Double, val asOfMillis: Long)
 
-    /** Returns whether a request may be sent to one of [engines], which are those that may be used now. */
-    public fun hasRoom(nowMillis: Long, engines: List<UpstreamLoad>): Boolean {
+    /** Returns whether a request may be sent to one of [engines], which returns those that may be used now. */
+    public fun hasRoom(nowMillis: Long, engines: () -> List<UpstreamLoad>): Boolean {
         refill(nowMillis, engines)
         return availableTokens >= 0
     }
@@ -28,9 +28,9 @@
         availableTokens -= cost
     }
 
-    private fun refill(nowMillis: Long, engines: List<UpstreamLoad>) {
+    private fun refill(nowMillis: Long, engines: () -> List<UpstreamLoad>) {
         val known = rate
-        if (known == null || nowMillis - known.asOfMillis >= REFRESH_MILLIS) rate = rateOf(nowMillis, engines)
+        if (known == null || nowMillis - known.asOfMillis >= REFRESH_MILLIS) rate = rateOf(nowMillis, engines())
         val tokensPerMilli = rate?.tokensPerMilli ?: 0.0
         val capacity = tokensPerMilli * burstMillis
         val refilled = if (known == null) capacity else availableTokens + tokensPerMilli * (nowMillis - refilledAtMillis)
--- a/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
@@ -69,7 +69,7 @@
     @Test
     fun aHostThatHasSentNothingHasOneBurst() {
         val pace = HostPace()
-        val loads = engines.map { it.load }
+        val loads = { engines.map { it.load } }
         assertTrue(pace.hasRoom(0, loads))
         assertTrue(pace.hasRoom(60_000, loads))
         pace.sent(ownTokensPerSecond() * (BURST_SECONDS + 1.0))
