Limit only engines by the host's rate of tokens

Cause: the limit to all engines together also held for a plain service whose callers state tokens; the load of such a service is counted in requests, so that its requests waited for seconds.

Change: it holds for services with engines.

--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -191,7 +191,7 @@
         val workspace = request.workspaceId
         if (request.rank != WaitingRank.DUE && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
         val usable = candidates(request.service)
-        val pace = request.demand?.let { paces.getOrPut(request.service) { HostPace() } }
+        val pace = paceOf(request.service, usable)
         if (pace?.hasRoom(nowMillis) { loadsOf(usable, nowMillis) } == false) return false
         val preferred = usable.filterNot { it.id in request.triedUpstreams }.ifEmpty { usable }
         val choice =
@@ -206,6 +206,10 @@
         return true
     }
 
+    /** Returns the limit to the engines of [service] together, or null for a plain service, whatever its callers state. */
+    private fun paceOf(service: ServiceId, usable: List<Candidate>): HostPace? =
+        if (usable.any { it.cache != null }) paces.getOrPut(service) { HostPace() } else null
+
     private fun loadsOf(candidates: List<Candidate>, nowMillis: Long): List<UpstreamLoad> =
         candidates.filter { it.usableFromMillis <= nowMillis }.map { it.load }
 
--- a/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
@@ -44,10 +44,9 @@
         override fun hasRoom(nowMillis: Long, cost: Double): Boolean = hasRoom && inner.hasRoom(nowMillis, cost)
     }
 
-    private inner class TestRequest(override val id: String) : DispatchedRequest {
+    private inner class TestRequest(override val id: String, override val demand: TokenDemand? = null) : DispatchedRequest {
         override val service: ServiceId = this@DispatcherTest.service
         override val workspaceId = WorkspaceId("workspace")
-        override val demand: TokenDemand? = null
         override val rank = WaitingRank.DUE
         override val triedUpstreams: Set<UpstreamId> = emptySet()
         override var queueEntry: QueuedRequest<DispatchedRequest>? = null
@@ -112,6 +111,13 @@
         assertEquals(36, dispatcher.waitingCount)
     }
 
+    /** Callers may state tokens on routes to plain services as well, whose load is counted in requests. */
+    @Test
+    fun statedTokensDoNotLimitRequestsToAPlainService() {
+        for (number in 1..10) dispatcher.submit(TestRequest("$number", TokenDemand(100_000, 10, emptyList())))
+        assertEquals((1..10).map { "$it" }, sent)
+    }
+
     @Test
     fun requestsThatAPauseOutlastsAreRefusedWithTheTimeOfItsEnd() {
         pausedUntilMillis = QUEUE_MILLIS + 1
