Limit a host over all engines only in fleets of more than 12 hosts

Suspected, not traced: in a small fleet the demand moves between hosts faster than they know of it, and the debt to single engines evened that out.

Change: up to 12 hosts only the limits to single engines hold, as before.

Result: HostPaceTest.aHostOfASmallFleetIsLimitedByEachEngineOnly; the tests of large fleets pass unchanged.

--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -66,6 +66,7 @@
  * @param candidates upstreams of a service that may get new requests.
  * @param accounts recent work that engines have started, by workspace.
  * @param backlog workspaces with queued requests on other hosts.
+ * @param hostCount number of live hosts of the fleet.
  */
 public class Dispatcher(
     private val candidates: (ServiceId) -> List<Candidate>,
@@ -73,9 +74,12 @@
     private val backlog: FleetBacklog,
     private val placement: Placement,
     private val clock: Clock,
+    private val hostCount: () -> Int = { 1 },
 ) {
     private val queues = HashMap<ServiceId, FairQueue<DispatchedRequest>>()
     private val paces = HashMap<ServiceId, HostPace>()
+    private var isLargeFleet = false
+    private var hostsCountedAtMillis = Long.MIN_VALUE / 2
 
     /** Services whose requests are being sent; requests that fail at once may cause further ones to be placed meanwhile. */
     private val placing = HashSet<ServiceId>()
@@ -191,7 +195,7 @@
         val workspace = request.workspaceId
         if (request.rank != WaitingRank.DUE && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
         val usable = candidates(request.service)
-        val pace = paceOf(request.service, usable)
+        val pace = paceOf(request.service, usable, nowMillis)
         if (pace?.hasRoom(nowMillis) { loadsOf(usable, nowMillis) } == false) return false
         val preferred = usable.filterNot { it.id in request.triedUpstreams }.ifEmpty { usable }
         val choice =
@@ -206,9 +210,18 @@
         return true
     }
 
-    /** Returns the limit to the engines of [service] together, or null for a plain service, whatever its callers state. */
-    private fun paceOf(service: ServiceId, usable: List<Candidate>): HostPace? =
-        if (usable.any { it.cache != null }) paces.getOrPut(service) { HostPace() } else null
+    /**
+     * Returns the limit to the engines of [service] together; null in a small fleet, and for a plain service, whatever its
+     * callers state.
+     */
+    private fun paceOf(service: ServiceId, usable: List<Candidate>, nowMillis: Long): HostPace? {
+        if (usable.none { it.cache != null }) return null
+        if (nowMillis - hostsCountedAtMillis >= HOST_COUNT_MILLIS) {
+            hostsCountedAtMillis = nowMillis
+            isLargeFleet = hostCount() > MAX_HOSTS_LIMITED_BY_ENGINES
+        }
+        return if (isLargeFleet) paces.getOrPut(service) { HostPace() } else null
+    }
 
     private fun loadsOf(candidates: List<Candidate>, nowMillis: Long): List<UpstreamLoad> =
         candidates.filter { it.usableFromMillis <= nowMillis }.map { it.load }
@@ -216,6 +229,15 @@
     private fun queueFor(service: ServiceId) = queues.getOrPut(service) { FairQueue(accounts) }
 
     private companion object {
+        /**
+         * Largest fleet, in hosts, in which the limits to single engines are enough: a host's part of an engine covers a large
+         * request of 12,000 tokens in less than two seconds.
+         */
+        const val MAX_HOSTS_LIMITED_BY_ENGINES = 12
+
+        /** Minimum time between two counts of the hosts, in milliseconds; membership changes take longer to be noticed. */
+        const val HOST_COUNT_MILLIS = 200L
+
         /**
          * Maximum number of queued requests of a workspace that exceeds its share. Only a few of them can be served within the
          * maximum queueing time.
--- a/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
@@ -23,10 +23,11 @@
     private var nowMillis = 0L
     private val sent = ArrayList<Choice>()
     private val startedWork = FleetAccounts(4_000.0)
+    private var hosts = 72
     private val engines = List(ENGINES) { number ->
-        Candidate(UpstreamId("engine-$number"), region, EngineLoad { 1.0 / HOSTS }, UpstreamReliability(), PrefixCacheModel())
+        Candidate(UpstreamId("engine-$number"), region, EngineLoad { 1.0 / hosts }, UpstreamReliability(), PrefixCacheModel())
     }
-    private val dispatcher = Dispatcher({ engines }, startedWork, FleetBacklog(startedWork), Placement(region), clock)
+    private val dispatcher = Dispatcher({ engines }, startedWork, FleetBacklog(startedWork), Placement(region), clock) { hosts }
 
     private inner class LargeRequest(override val id: String) : DispatchedRequest {
         override val service: ServiceId = this@HostPaceTest.service
@@ -66,6 +67,14 @@
         assertTrue(sent.sumOf { it.cost } >= ownTokensPerSecond() * 4, "the host uses its part")
     }
 
+    /** There, a host's part of an engine covers a request soon, and demand moves between hosts faster than it is known. */
+    @Test
+    fun aHostOfASmallFleetIsLimitedByEachEngineOnly() {
+        hosts = 9
+        repeat(100) { dispatcher.submit(LargeRequest("$it")) }
+        assertEquals(ENGINES, sent.size)
+    }
+
     @Test
     fun aHostThatHasSentNothingHasOneBurst() {
         val pace = HostPace()
@@ -79,7 +88,6 @@
     private fun ownTokensPerSecond() = engines.sumOf { it.load.view(nowMillis).allowedPerSecond }
 
     private companion object {
-        const val HOSTS = 72
         const val ENGINES = 42
         const val REQUEST_TOKENS = 12_000
         const val BURST_SECONDS = 1.8
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -154,6 +154,7 @@
             accounts.backlog,
             Placement(settings.region),
             clock,
+            { hostOrder.count },
         )
         crashWatch.onCrash = {
             peers.announce()
