review/5: RECOVER is broken when a machine takes over the clients of a lost one

Cause: a host accepts channels until its descriptors are used up. It has none left then for upstreams, and its readiness doesn't depend on them.

--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -437,6 +437,18 @@
             return socket != null;
         }
 
+        /** Sends a request and waits for its answer for this time only. */
+        Response callWithin(int waitMillis, String method, String path, String attempt, long deadlineMillis) throws IOException {
+            if (socket == null) open();
+            try {
+                send(method, path, attempt, deadlineMillis, Map.of(), null);
+                return read(waitMillis);
+            } catch (IOException e) {
+                close();
+                throw e;
+            }
+        }
+
         /** Sends a request and reads its response; throws if the channel ends before a response head. */
         Response call(String method, String path, String attempt, long deadlineMillis, Map<String, String> more, byte[] body) throws IOException {
             if (socket == null) open();
@@ -554,9 +566,16 @@
         }
 
         void start() throws IOException {
-            process = new ProcessBuilder("java", "-XX:SharedArchiveFile=target/router/router.jsa", "-Xshare:auto", "-Xmx128m", "-Xss256k",
+            start(List.of());
+        }
+
+        /** Starts the process by [launcher], which may set its limits and then runs the words that follow it. */
+        void start(List<String> launcher) throws IOException {
+            List<String> command = new ArrayList<>(launcher);
+            command.addAll(List.of("java", "-XX:SharedArchiveFile=target/router/router.jsa", "-Xshare:auto", "-Xmx128m", "-Xss256k",
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-jar", "target/router/router-0.1.0-all.jar", "--platform", "--config",
-                settings.toString())
+                settings.toString()));
+            process = new ProcessBuilder(command)
                 .directory(Path.of(System.getProperty("root", ".")).toFile())
                 .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
             if (!ROUTERS.contains(this)) ROUTERS.add(this);
