--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -536,7 +536,10 @@
     private static final List<Router> ROUTERS = new CopyOnWriteArrayList<>();
 
     static {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> ROUTERS.forEach(Router::kill)));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            ROUTERS.forEach(Router::kill);
+            ROUTERS.forEach(Router::deleteFiles);
+        }));
     }
 
     /** A process of the project's router, started with the command of the deploy file. */
@@ -620,5 +623,17 @@
         void kill() {
             if (process != null) process.destroyForcibly();
         }
+
+        /** Waits for the end of the process and deletes its files, and their folder when it is empty. */
+        void deleteFiles() {
+            try {
+                process.waitFor(5, TimeUnit.SECONDS);
+                Files.deleteIfExists(settings);
+                Files.deleteIfExists(log);
+                Files.deleteIfExists(settings.getParent());
+            } catch (IOException | InterruptedException e) {
+                // The folder still has the files of another process.
+            }
+        }
     }
 }
