--- a/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
@@ -1,6 +1,7 @@
 package buckthornbay.core.admission
 
 import buckthornbay.core.Clock
+import buckthornbay.core.membership.StoreStatement
 import buckthornbay.core.membership.rendezvousOrder
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.Member
@@ -35,6 +36,7 @@
  * @property startedWork recently started work, in tokens by workspace.
  * @property requestedWork recently requested work, in tokens by workspace.
  * @property waiting workspaces that have requests queued there.
+ * @property store what the sender knows of the store; carried by one entry of each message.
  */
 @Serializable
 public data class SourceAccounts(
@@ -43,6 +45,7 @@
     @SerialName("b") public val startedWork: Map<WorkspaceId, Long>,
     @SerialName("a") public val requestedWork: Map<WorkspaceId, Long>,
     @SerialName("w") public val waiting: Set<WorkspaceId>,
+    @SerialName("k") public val store: StoreStatement? = null,
 )
 
 /**
--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/membership/LargeFleetStoreTest.kt
@@ -0,0 +1,141 @@
+package buckthornbay.core.membership
+
+import buckthornbay.core.membership.SimulatedStoreFleet.Host
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/**
+ * Tests that changes reach all hosts of a large fleet within the allowed lag while the store doesn't serve some of them.
+ *
+ * Guards against hosts that take a peer's contact with the store for proof of their own knowledge.
+ */
+class LargeFleetStoreTest {
+    private fun play(hostCount: Int, lagMillis: Long, fault: SimulatedStoreFleet.(Random) -> Unit): SimulatedStoreFleet {
+        val random = Random(SEED)
+        val fleet = SimulatedStoreFleet(hostCount, lagMillis, SEED)
+        // Changes come before the fault, right at its start, and at uneven times until after its end.
+        var changeMillis = FAULT_START_MILLIS - 2_000
+        while (changeMillis < END_MILLIS) {
+            Followed.entries.forEach { followed -> fleet.at(changeMillis) { fleet.change(followed) } }
+            changeMillis += 100 + random.nextLong(3 * lagMillis)
+        }
+        fleet.at(FAULT_START_MILLIS + 100) { Followed.entries.forEach(fleet::change) }
+        fleet.at(FAULT_START_MILLIS) { fleet.fault(random) }
+        fleet.at(FAULT_END_MILLIS) { fleet.hosts.forEach { it.fault = { StoreFault.NONE } } }
+        fleet.runUntil(END_MILLIS)
+        return fleet
+    }
+
+    private fun SimulatedStoreFleet.assertNoLateChange(judged: (Host) -> Boolean = { true }) {
+        val late = lateChanges(sinceMillis = WARM_UP_MILLIS, judged)
+        assertEquals(emptyList(), late.take(5), "${late.size} late changes")
+    }
+
+    private fun SimulatedStoreFleet.turnAway(turnedAway: Collection<Host>, fault: StoreFault) =
+        turnedAway.forEach { host -> host.fault = { fault } }
+
+    @ParameterizedTest
+    @CsvSource(textBlock = TURNED_AWAY)
+    fun theStoreTurnsTheWatchersAway(hostCount: Int, lagMillis: Long, fault: StoreFault) =
+        play(hostCount, lagMillis) { turnAway(byRank.take(4), fault) }.assertNoLateChange()
+
+    @ParameterizedTest
+    @CsvSource(textBlock = TURNED_AWAY)
+    fun theStoreTurnsARandomThirdAway(hostCount: Int, lagMillis: Long, fault: StoreFault) =
+        play(hostCount, lagMillis) { turnAway(hosts.shuffled(it).take(hostCount / 3), fault) }.assertNoLateChange()
+
+    @ParameterizedTest
+    @CsvSource("13, 4000, REJECTED", "13, 2500, SILENT", "72, 4000, SILENT", "95, 4000, REJECTED", "390, 4000, SILENT")
+    fun theStoreTurnsAllButOneAway(hostCount: Int, lagMillis: Long, fault: StoreFault) =
+        play(hostCount, lagMillis) { turnAway(hosts.shuffled(it).drop(1), fault) }.assertNoLateChange()
+
+    /** The hosts that the store turns away change every second: four at a time, in the order in which hosts call it. */
+    @ParameterizedTest
+    @CsvSource("13, 2500", "13, 4000", "72, 4000", "95, 2500", "390, 4000")
+    fun theStoreTurnsTheCallersAwayInTurn(hostCount: Int, lagMillis: Long) = play(hostCount, lagMillis) {
+        var turn = 0
+        every(1_000) {
+            val isOver = nowMillis >= FAULT_END_MILLIS
+            val turnedAway = byRank.drop(4 * (turn++ % 3)).take(4)
+            hosts.forEach { host -> host.fault = { if (!isOver && host in turnedAway) StoreFault.REJECTED else StoreFault.NONE } }
+        }
+    }.assertNoLateChange()
+
+    @ParameterizedTest
+    @CsvSource("13, 2500", "13, 4000", "72, 4000", "95, 2500", "390, 4000")
+    fun theWatchersFreeze(hostCount: Int, lagMillis: Long) {
+        val frozen = HashSet<Host>()
+        play(hostCount, lagMillis) {
+            frozen += byRank.take(4)
+            frozen.forEach { it.frozenUntilMillis = nowMillis + SimulatedStoreFleet.FREEZE_MILLIS }
+        }.assertNoLateChange { it !in frozen }
+    }
+
+    /** Cut-off watchers still get changes from the store; the others must not wait for them. */
+    @ParameterizedTest
+    @CsvSource("13, 2500", "13, 4000", "72, 4000", "95, 2500", "390, 4000")
+    fun theWatchersAreCutOffFromTheirPeersButNotFromTheStore(hostCount: Int, lagMillis: Long) =
+        play(hostCount, lagMillis) { byRank.take(4).forEach { it.cutFromPeers = true } }.assertNoLateChange()
+
+    @ParameterizedTest
+    @CsvSource("13, 4000, CONFIGURATION", "13, 4000, REGISTRATIONS", "95, 2500, CONFIGURATION", "390, 4000, REGISTRATIONS")
+    fun theWatchersReadOnlyOneCollection(hostCount: Int, lagMillis: Long, failing: Followed) = play(hostCount, lagMillis) {
+        byRank.take(4).forEach { host -> host.fault = { if (it == failing) StoreFault.SILENT else StoreFault.NONE } }
+    }.assertNoLateChange()
+
+    /** A slow store serves those that it doesn't turn away. */
+    @ParameterizedTest
+    @CsvSource("13, 2500", "13, 4000", "72, 4000", "95, 4000", "390, 4000")
+    fun theStoreIsSlowAndTurnsTheWatchersAway(hostCount: Int, lagMillis: Long) = play(hostCount, lagMillis) {
+        hosts.forEach { it.responseMillis = 80 }
+        turnAway(byRank.take(4), StoreFault.REJECTED)
+    }.assertNoLateChange()
+
+    /** Four hosts with waits of four and two seconds made three calls a second. */
+    @ParameterizedTest
+    @CsvSource("13, 2500", "72, 2500", "95, 2500", "390, 2500", "13, 4000", "95, 4000", "390, 4000")
+    fun calmFleetsCallTheStoreNoMoreThanFourWatchersDid(hostCount: Int, lagMillis: Long) {
+        val fleet = SimulatedStoreFleet(hostCount, lagMillis, SEED)
+        fleet.runUntil(WARM_UP_MILLIS)
+        val before = fleet.calls
+        fleet.runUntil(WARM_UP_MILLIS + CALM_MILLIS)
+        val callsPerSecond = (fleet.calls - before) * 1_000.0 / CALM_MILLIS
+        assertTrue(callsPerSecond <= 3.0, "$callsPerSecond calls per second")
+    }
+
+    /** No more than an eighth of a fleet calls the store while a few watchers are turned away, so that it isn't overloaded. */
+    @ParameterizedTest
+    @CsvSource("95, 4000", "390, 4000")
+    fun fewHostsTakeOverFromWatchers(hostCount: Int, lagMillis: Long) {
+        val fleet = SimulatedStoreFleet(hostCount, lagMillis, SEED)
+        fleet.runUntil(WARM_UP_MILLIS)
+        val before = fleet.calls
+        fleet.turnAway(fleet.byRank.take(3), StoreFault.SILENT)
+        fleet.runUntil(WARM_UP_MILLIS + CALM_MILLIS)
+        val callsPerSecond = (fleet.calls - before) * 1_000.0 / CALM_MILLIS
+        assertTrue(callsPerSecond <= hostCount / 8.0, "$callsPerSecond calls per second")
+    }
+
+    private companion object {
+        const val SEED = 1L
+
+        /** Hosts, the allowed lag in milliseconds, and what the store does with calls. */
+        const val TURNED_AWAY = """
+            13, 2500, REJECTED
+            13, 4000, SILENT
+            72, 2500, SILENT
+            72, 4000, REJECTED
+            95, 2500, REJECTED
+            95, 4000, SILENT
+            390, 2500, SILENT
+            390, 4000, REJECTED"""
+        const val WARM_UP_MILLIS = 6_000L
+        const val FAULT_START_MILLIS = 9_000L
+        const val FAULT_END_MILLIS = 27_000L
+        const val END_MILLIS = 40_000L
+        const val CALM_MILLIS = 60_000L
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/buckthornbay/core/membership/SimulatedStoreFleet.kt
@@ -0,0 +1,260 @@
+package buckthornbay.core.membership
+
+import buckthornbay.protocol.HostId
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/** How the store, or the network, treats a host of a [SimulatedStoreFleet]. */
+enum class StoreFault { NONE, REJECTED, SILENT }
+
+/** The two collections that hosts follow. */
+enum class Followed { CONFIGURATION, REGISTRATIONS }
+
+/**
+ * Hosts that follow the store in virtual time, by [StoreCallSchedule] and the statements of [StoreKnowledge].
+ *
+ * They exchange statements as routers do: with a random peer in each heartbeat period, and in large fleets with one host of
+ * their zone, which exchanges them with those of the other zones. A host that learns of a newer version fetches it.
+ */
+internal class SimulatedStoreFleet(hostCount: Int, private val lagMillis: Long, seed: Long) {
+    private class Event(val atMillis: Long, val sequence: Int, val action: () -> Unit)
+
+    private class Change(val revision: Long, val atMillis: Long, val followed: Followed)
+
+    /** A change that a host applied later than the allowed lag, or not at all. */
+    data class LateChange(val host: HostId, val followed: Followed, val version: Long, val lagMillis: Long)
+
+    inner class Host(val index: Int) {
+        val id = HostId("host-$index")
+        private val versions = Followed.entries.associateWith { 0L }.toMutableMap()
+        val appliedAtMillis = Followed.entries.associateWith { HashMap<Long, Long>() }
+        var fault: (Followed) -> StoreFault = { StoreFault.NONE }
+        var responseMillis = STORE_MILLIS
+        var cutFromPeers = false
+        var frozenUntilMillis = 0L
+        val isFrozen: Boolean get() = nowMillis < frozenUntilMillis
+
+        private val clockOffsetMillis = random.nextLong(1_000_000)
+        private val ownMillis: Long get() = nowMillis + clockOffsetMillis
+        private val collections = Followed.entries.associateWith { CollectionKnowledge { versions.getValue(it) } }
+        private val knowledge = StoreKnowledge(
+            id,
+            clockId = index.toLong(),
+            collections.getValue(Followed.CONFIGURATION),
+            collections.getValue(Followed.REGISTRATIONS),
+        )
+        private val schedules = Followed.entries.associateWith {
+            StoreCallSchedule(id, collections.getValue(it), lagMillis, LONG_POLL_MILLIS.getValue(it))
+        }
+        private var fetching = false
+
+        fun version(followed: Followed): Long = versions.getValue(followed)
+
+        private fun apply(followed: Followed, version: Long) {
+            if (version <= version(followed)) return
+            for (applied in version(followed) + 1..version) appliedAtMillis.getValue(followed)[applied] = nowMillis
+            versions[followed] = version
+            hosts.shuffled(random).take(ANNOUNCE_FAN_OUT).forEach { heartbeat(it) }
+        }
+
+        fun follow(followed: Followed, failures: Int = 0) {
+            if (isFrozen) return at(frozenUntilMillis) { follow(followed, failures) }
+            when (val call = schedules.getValue(followed).next(ownMillis, liveHosts(), version(followed) > 0)) {
+                is StoreCall.Delegate -> after(call.millis) { follow(followed) }
+                is StoreCall.ListAll -> call(followed, failures, 0) { true }
+                is StoreCall.Watch -> call(followed, failures, call.waitMillis) { newestRevision(followed) > call.revision }
+            }
+        }
+
+        private fun call(followed: Followed, failures: Int, waitMillis: Long, isAnswered: () -> Boolean) {
+            calls++
+            val sentAtMillis = nowMillis
+            val deadlineMillis = nowMillis + waitMillis + CALL_TIMEOUT_MILLIS
+            if (fault(followed) == StoreFault.SILENT) return at(deadlineMillis) { retry(followed, failures) }
+            if (fault(followed) == StoreFault.REJECTED) return after(responseMillis) { retry(followed, failures) }
+            poll(Poll(followed, failures, sentAtMillis, waitMillis, deadlineMillis, isAnswered))
+        }
+
+        private inner class Poll(
+            val followed: Followed,
+            val failures: Int,
+            val sentAtMillis: Long,
+            val waitMillis: Long,
+            val deadlineMillis: Long,
+            val isAnswered: () -> Boolean,
+        )
+
+        private fun poll(poll: Poll): Unit = when (fault(poll.followed)) {
+            StoreFault.SILENT -> at(poll.deadlineMillis) { retry(poll.followed, poll.failures) }
+            StoreFault.REJECTED -> after(responseMillis) { retry(poll.followed, poll.failures) }
+            StoreFault.NONE -> if (poll.isAnswered() || nowMillis >= poll.sentAtMillis + poll.waitMillis) {
+                val revision = storeRevision
+                val version = newestVersion(poll.followed)
+                val isChanged = poll.isAnswered()
+                after(responseMillis) { receive(poll, revision, version, isChanged) }
+            } else {
+                after(POLL_MILLIS) { poll(poll) }
+            }
+        }
+
+        private fun receive(poll: Poll, revision: Long, version: Long, isChanged: Boolean) {
+            if (isFrozen) return at(frozenUntilMillis) { receive(poll, revision, version, isChanged) }
+            apply(poll.followed, version)
+            val answeredAtMillis = minOf(ownMillis, poll.sentAtMillis + clockOffsetMillis + poll.waitMillis)
+            schedules.getValue(poll.followed).recordResponse(answeredAtMillis, revision, isChanged)
+            exchangeTargets(this).forEach(::exchange)
+            follow(poll.followed)
+        }
+
+        private fun retry(followed: Followed, failures: Int) {
+            val upperMillis = (FIRST_BACKOFF_MILLIS shl failures.coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(MAX_BACKOFF_MILLIS)
+            after(upperMillis / 2 + random.nextLong(upperMillis / 2)) { follow(followed, failures + 1) }
+        }
+
+        /** Sends a heartbeat to [peer], whose reply states what it knows. */
+        fun heartbeat(peer: Host) = message(peer, knowledge.statementFor(ownMillis, recipient = null))
+
+        /** Exchanges statements with [peer] in both directions. */
+        fun exchange(peer: Host) = message(peer, knowledge.statementFor(ownMillis, peer.id))
+
+        private fun message(peer: Host, statement: StoreStatement) {
+            val sentVersions = versions.toMap()
+            deliver(peer) {
+                val before = peer.knowledge.confirmedAtMillis
+                peer.receive(this, statement, sentVersions)
+                val passesOn = peer.knowledge.confirmedAtMillis != before && peer.index % ZONES == index % ZONES
+                if (passesOn) exchangeTargets(peer).forEach(peer::exchange)
+                val reply = peer.knowledge.statementFor(peer.ownMillis, id)
+                val peerVersions = peer.versions.toMap()
+                peer.deliver(this) { receive(peer, reply, peerVersions) }
+            }
+        }
+
+        private fun receive(peer: Host, statement: StoreStatement, peerVersions: Map<Followed, Long>) {
+            knowledge.receive(ownMillis, statement)
+            if (fetching || Followed.entries.none { peerVersions.getValue(it) > version(it) }) return
+            fetching = true
+            after(CALL_TIMEOUT_MILLIS) { fetching = false }
+            deliver(peer) {
+                val fetched = peer.versions.toMap()
+                peer.deliver(this) {
+                    fetching = false
+                    fetched.forEach(::apply)
+                }
+            }
+        }
+
+        private fun deliver(peer: Host, action: () -> Unit) {
+            if (isFrozen || cutFromPeers || peer.cutFromPeers) return
+            after(PEER_MILLIS) { if (peer.isFrozen) at(peer.frozenUntilMillis, action) else action() }
+        }
+    }
+
+    private val random = Random(seed)
+    private val events = PriorityQueue(compareBy<Event>({ it.atMillis }, { it.sequence }))
+    private var sequence = 0
+    private val history = ArrayList<Change>()
+    private var storeRevision = 1L
+
+    var nowMillis = 0L
+        private set
+
+    /** Calls of the store since the start. */
+    var calls = 0
+        private set
+
+    val hosts = List(hostCount) { Host(it) }
+
+    /** The hosts in the order in which they call the store. */
+    val byRank: List<Host> = rendezvousOrder("store-watch", hosts) { it.id.value }
+
+    private val allIds = hosts.map { it.id }
+    private val byAggregatorRank = rendezvousOrder("accounts", hosts) { it.id.value }
+
+    init {
+        Followed.entries.forEach(::change)
+        for (host in hosts) {
+            Followed.entries.forEach { followed -> at(random.nextLong(START_MILLIS)) { host.follow(followed) } }
+            every(HEARTBEAT_MILLIS) { host.heartbeat(hosts.random(random)) }
+            every(EXCHANGE_MILLIS) { exchangeTargets(host).forEach(host::exchange) }
+        }
+    }
+
+    /** Changes a collection; the store acknowledges it at once. */
+    fun change(followed: Followed) {
+        storeRevision++
+        history += Change(storeRevision, nowMillis, followed)
+    }
+
+    fun runUntil(millis: Long) {
+        while (events.isNotEmpty() && events.peek().atMillis <= millis) {
+            val event = events.remove()
+            nowMillis = event.atMillis
+            event.action()
+        }
+        nowMillis = millis
+    }
+
+    fun at(millis: Long, action: () -> Unit) {
+        events += Event(maxOf(millis, nowMillis), sequence++, action)
+    }
+
+    fun every(periodMillis: Long, action: () -> Unit) = repeatAt(nowMillis + random.nextLong(periodMillis), periodMillis, action)
+
+    /** Returns the changes from [sinceMillis] on that [judged] hosts applied later than the allowed lag, or not yet. */
+    fun lateChanges(sinceMillis: Long, judged: (Host) -> Boolean): List<LateChange> = Followed.entries.flatMap { followed ->
+        val changes = history.filter { it.followed == followed }
+        changes.flatMapIndexed { index, change ->
+            if (change.atMillis !in sinceMillis..nowMillis - lagMillis) return@flatMapIndexed emptyList()
+            hosts.filter(judged).mapNotNull { host ->
+                val appliedAtMillis = host.appliedAtMillis.getValue(followed)[index + 1L] ?: nowMillis
+                val lag = appliedAtMillis - change.atMillis
+                LateChange(host.id, followed, index + 1L, lag).takeIf { lag > lagMillis }
+            }
+        }
+    }
+
+    private fun repeatAt(millis: Long, periodMillis: Long, action: () -> Unit): Unit = at(millis) {
+        action()
+        repeatAt(millis + periodMillis, periodMillis, action)
+    }
+
+    private fun after(delayMillis: Long, action: () -> Unit) = at(nowMillis + delayMillis, action)
+
+    private fun newestVersion(followed: Followed): Long = history.count { it.followed == followed }.toLong()
+
+    private fun newestRevision(followed: Followed): Long = history.last { it.followed == followed }.revision
+
+    /** Hosts that membership takes for live: a frozen one is suspected for some time, then dead. */
+    private fun liveHosts(): List<HostId> = if (hosts.none(::isDead)) allIds else hosts.filterNot(::isDead).map { it.id }
+
+    private fun isDead(host: Host) = host.isFrozen && host.frozenUntilMillis - nowMillis < FREEZE_MILLIS - DEAD_AFTER_MILLIS
+
+    private fun exchangeTargets(host: Host): List<Host> {
+        val own = aggregatorOf(host.index % ZONES)
+        if (own != host) return listOf(own)
+        return (0 until ZONES).filter { it != host.index % ZONES }.map(::aggregatorOf)
+    }
+
+    private fun aggregatorOf(zone: Int): Host = byAggregatorRank.first { it.index % ZONES == zone && !isDead(it) }
+
+    companion object {
+        /** Duration of a freeze, in milliseconds. */
+        const val FREEZE_MILLIS = 8_000L
+
+        private val LONG_POLL_MILLIS = mapOf(Followed.CONFIGURATION to 4_000L, Followed.REGISTRATIONS to 2_000L)
+        private const val ZONES = 6
+        private const val START_MILLIS = 300L
+        private const val STORE_MILLIS = 4L
+        private const val POLL_MILLIS = 5L
+        private const val PEER_MILLIS = 10L
+        private const val CALL_TIMEOUT_MILLIS = 1_000L
+        private const val HEARTBEAT_MILLIS = 150L
+        private const val EXCHANGE_MILLIS = 400L
+        private const val ANNOUNCE_FAN_OUT = 3
+        private const val DEAD_AFTER_MILLIS = 2_100L
+        private const val FIRST_BACKOFF_MILLIS = 40L
+        private const val MAX_DOUBLINGS = 5
+        private const val MAX_BACKOFF_MILLIS = 600L
+    }
+}
--- a/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/AccountsExchange.kt
@@ -1,8 +1,12 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.Clock
 import buckthornbay.core.admission.AccountsAggregation
 import buckthornbay.core.admission.SourceAccounts
 import buckthornbay.core.membership.Membership
+import buckthornbay.core.membership.StoreKnowledge
+import buckthornbay.core.membership.StoreStatement
+import buckthornbay.protocol.HostId
 import buckthornbay.protocol.Member
 import buckthornbay.protocol.WireJson
 import buckthornbay.store.HttpCall
@@ -14,39 +18,69 @@
 import kotlinx.serialization.builtins.ListSerializer
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The messages of the [aggregation] of workspace accounts in fleets that are too large for heartbeats to carry the accounts. */
+/**
+ * The messages of the [aggregation] of workspace accounts in fleets that are too large for heartbeats to carry the accounts.
+ *
+ * They also carry what hosts know of the store. A host that has read the store, and the aggregator of its zone, pass this on
+ * at once rather than in the next period, so that few hosts have to call the store.
+ */
 internal class AccountsExchange(
     private val membership: Membership,
     private val aggregation: AccountsAggregation,
+    private val storeKnowledge: StoreKnowledge,
     private val transport: HttpTransport,
+    private val clock: Clock,
     private val log: DecisionLog,
+    private val scope: CoroutineScope,
 ) {
+    /** Called with what a peer states about the store. */
+    var onStatement: (StoreStatement) -> Unit = {}
+
     /** Whether the fleet is too large for the accounts to be carried in heartbeats. */
     val isNeeded: Boolean get() = membership.live().size > MAX_PAIRWISE_HOSTS
 
-    fun start(scope: CoroutineScope) {
+    fun start() {
         scope.launchLoop("exchange of accounts", log) {
             while (true) {
-                if (isNeeded) aggregation.targets().forEach { target -> scope.launch { exchange(target) } }
+                exchangeAll()
                 delay(PERIOD_MILLIS.milliseconds)
             }
         }
     }
 
+    /** Exchanges accounts and statements about the store with all hosts that this host exchanges them with. */
+    fun exchangeAll() {
+        if (isNeeded) aggregation.targets().forEach { target -> scope.launch { exchange(target) } }
+    }
+
     /** Merges the accounts in a peer's request [body] and returns the response body with the accounts that the peer needs. */
     fun answer(body: String): String {
         val received = readPeerBody(FORMAT, body, log).orEmpty()
-        received.forEach(aggregation::merge)
-        return encode(received.firstOrNull()?.let(aggregation::answerTo).orEmpty())
+        val confirmedAtMillis = storeKnowledge.confirmedAtMillis
+        received.forEach(::merge)
+        val isYounger = storeKnowledge.confirmedAtMillis != confirmedAtMillis
+        if (isYounger && received.first().zone == membership.selfMember.zone) exchangeAll()
+        val sender = received.firstNotNullOfOrNull { it.store }?.host
+        return encode(received.firstOrNull()?.let(aggregation::answerTo).orEmpty(), sender)
     }
 
     private suspend fun exchange(target: Member) {
-        val call = HttpCall("POST", PATH, encode(listOf(aggregation.accountsFor(target))))
+        val call = HttpCall("POST", PATH, encode(listOf(aggregation.accountsFor(target)), target.host))
         val reply = transport.call(target.url, call, CALL_TIMEOUT_MILLIS).getOrElse { return }
-        readPeerBody(FORMAT, reply.body, log, target.url).orEmpty().forEach(aggregation::merge)
+        readPeerBody(FORMAT, reply.body, log, target.url).orEmpty().forEach(::merge)
     }
 
-    private fun encode(entries: List<SourceAccounts>): String = WireJson.encodeToString(FORMAT, entries)
+    private fun merge(received: SourceAccounts) {
+        aggregation.merge(received)
+        received.store?.let(onStatement)
+    }
+
+    /** Encodes [entries] for [recipient], the first one with the statement about the store. */
+    private fun encode(entries: List<SourceAccounts>, recipient: HostId?): String {
+        val statement = storeKnowledge.statementFor(clock.nowMillis(), recipient)
+        val stated = entries.mapIndexed { index, entry -> if (index == 0) entry.copy(store = statement) else entry }
+        return WireJson.encodeToString(FORMAT, stated)
+    }
 
     companion object {
         const val PATH = "/v1/peers/accounts"
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -6,6 +6,7 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MultiGauge
 import io.micrometer.core.instrument.Tags
+import io.micrometer.core.instrument.TimeGauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -29,6 +30,12 @@
 
     private val limitedUpstreams = AtomicInteger().also { registry.gauge("buckthornbay.limited.upstreams", it) }
 
+    /** Shows the age of what this host knows of a collection of the store, which [ageMillis] returns in milliseconds. */
+    fun storeKnowledge(collection: String, ageMillis: () -> Long) {
+        TimeGauge.builder("buckthornbay.store.knowledge.age", { ageMillis() }, TimeUnit.MILLISECONDS)
+            .tag("collection", collection).strongReference(true).register(registry)
+    }
+
     fun connectionOpened() = connections.increment()
 
     /** Records that an upstream crashed while it processed requests of this host. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -14,9 +14,10 @@
 import buckthornbay.core.admission.ZoneHostOrder
 import buckthornbay.core.load.Placement
 import buckthornbay.core.load.RateLimitDivision
+import buckthornbay.core.membership.CollectionKnowledge
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.MembershipSettings
-import buckthornbay.core.membership.StoreWatcherSelection
+import buckthornbay.core.membership.StoreKnowledge
 import buckthornbay.core.membership.rendezvousOrder
 import buckthornbay.core.quarantine.PromptQuarantine
 import buckthornbay.core.quarantine.QuarantineChange
@@ -88,12 +89,23 @@
         random,
         MEMBERSHIP,
     )
-    private val watcherSelection = StoreWatcherSelection(settings.host)
+    private val storeKnowledge = StoreKnowledge(
+        settings.host,
+        incarnation,
+        CollectionKnowledge { fleetView.configurationVersion },
+        CollectionKnowledge { fleetView.registryRevision },
+    )
+    private val storeAccess = StoreAccess(settings.host, storeKnowledge, settings.bounds) {
+        membership.live().map { it.host }
+    }
     private val accountsExchange = AccountsExchange(
         membership,
         AccountsAggregation(selfMember, accounts, membership::live),
+        storeKnowledge,
         transport,
+        clock,
         log,
+        scope,
     )
     private val crashWatch = CrashWatch(PromptQuarantine(), connections, eventLoop, clock, log, metrics) { part ->
         rendezvousOrder(part, membership.live().map { it.host }).first() == settings.host
@@ -104,7 +116,7 @@
         fleetView,
         transport,
         log,
-        watcherSelection,
+        storeAccess,
         accountsExchange,
         scope,
     )
@@ -123,8 +135,9 @@
             deployment.format,
             fleetView,
             registry,
-            StoreReachability(watcherSelection, clock, log, peers::watchesStore),
+            storeAccess,
             random,
+            clock,
             log,
         )
     private val retryBudgets = RetryBudgets(
@@ -156,6 +169,8 @@
             clock,
             { hostOrder.count },
         )
+        storeKnowledge.run { mapOf("configuration" to configuration, "registrations" to registrations) }
+            .forEach { (name, collection) -> metrics.storeKnowledge(name) { collection.ageMillis(clock.nowMillis()) } }
         crashWatch.onCrash = {
             peers.announce()
             quarantineStore.readAfterCrash(crashWatch::restore)
@@ -176,6 +191,7 @@
         settings.listen.run { listOfNotNull(readiness, control, addresses, metrics) }.distinct()
             .forEach { listeners.listen(it, hostHandler) }
         scope.launchLoop("maintenance", log) { runMaintenance() }
+        watcher.onResponse = peers::passOnStatement
         scope.launch { watcher.start(scope) }
         scope.launch { quarantineStore.read(crashWatch::restore) }
         scope.launch { peers.start() }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewaySettings.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewaySettings.kt
@@ -64,6 +64,10 @@
  * @property retryWindowSeconds length of the window of the retry budget, in seconds.
  * @property retrySlack retries allowed in a window regardless of the number of requests, fleet-wide.
  * @property shareWindowSeconds time over which fair shares of throughput are measured, in seconds.
+ * @property configurationMillis time from the store's acknowledgement of a configuration until all hosts apply it, in
+ * milliseconds.
+ * @property drainMillis time from the acknowledgement that an upstream drains or is gone until no host sends it requests, in
+ * milliseconds.
  */
 @Serializable
 public data class BoundSettings(
@@ -72,6 +76,8 @@
     public val retryWindowSeconds: Double,
     public val retrySlack: Double,
     public val shareWindowSeconds: Double,
+    public val configurationMillis: Long = 2_500,
+    public val drainMillis: Long = 2_500,
 )
 
 /** Reads the settings from TOML; returns the settings, or all problems found, with line numbers where they are known. */
@@ -84,6 +90,9 @@
         "graceSeconds, retryWindowSeconds and shareWindowSeconds must be above 0".takeIf {
             settings.bounds.run { graceSeconds <= 0 || retryWindowSeconds <= 0 || shareWindowSeconds <= 0 }
         },
+        "configurationMillis and drainMillis must be at least $MIN_LAG_MILLIS".takeIf {
+            settings.bounds.run { minOf(configurationMillis, drainMillis) < MIN_LAG_MILLIS }
+        },
         "retryRatio and retrySlack must not be negative".takeIf { settings.bounds.run { retryRatio < 0 || retrySlack < 0 } },
     )
     return if (problems.isEmpty()) Ok(settings) else Err(problems.map { TomlProblem(0, it) })
@@ -95,3 +104,6 @@
 }
 
 private const val MAX_PORT = 65_535
+
+/** Shortest time within which changes can be asked to reach all hosts, in milliseconds: a few calls of the store and of peers. */
+private const val MIN_LAG_MILLIS = 1_000L
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -5,10 +5,11 @@
 import buckthornbay.core.admission.toTokens
 import buckthornbay.core.admission.toWholeTokens
 import buckthornbay.core.load.RateLimitNews
+import buckthornbay.core.membership.CollectionKnowledge
 import buckthornbay.core.membership.HostReport
 import buckthornbay.core.membership.Membership
 import buckthornbay.core.membership.OutgoingHeartbeat
-import buckthornbay.core.membership.StoreWatcherSelection
+import buckthornbay.core.membership.StoreStatement
 import buckthornbay.core.quarantine.QuarantineNews
 import buckthornbay.protocol.Heartbeat
 import buckthornbay.protocol.HostId
@@ -38,9 +39,11 @@
  * @property startedWork work that the sender has started since its process began, in tokens by workspace.
  * @property requestedWork work that callers have requested from the sender since its process began, in tokens by workspace.
  * @property waiting workspaces that have requests queued at the sender.
- * @property storeAgeMillis time since the last contact of any host with the store, as far as the sender knows, in milliseconds.
+ * @property storeAgeMillis age of the sender's knowledge of the configuration, in milliseconds; only hosts before [store] was
+ * added read it.
  * @property quarantine recent crashes of upstreams and the quarantined prompt parts, as far as the sender knows.
  * @property rateLimits request rate limits that upstreams state, as far as the sender knows.
+ * @property store what the sender knows of the store, and as of when.
  */
 @Serializable
 internal data class GossipMessage(
@@ -52,6 +55,7 @@
     @SerialName("s") val storeAgeMillis: Long,
     @SerialName("q") val quarantine: QuarantineNews = QuarantineNews(),
     @SerialName("l") val rateLimits: List<RateLimitNews> = emptyList(),
+    @SerialName("k") val store: StoreStatement? = null,
 )
 
 /** The state of this host that it exchanges with its peers. */
@@ -76,7 +80,7 @@
     private val fleetView: FleetView,
     private val transport: HttpTransport,
     private val log: DecisionLog,
-    private val watcherSelection: StoreWatcherSelection,
+    private val storeAccess: StoreAccess,
     private val accountsExchange: AccountsExchange,
     private val scope: CoroutineScope,
 ) {
@@ -87,7 +91,8 @@
     private var knownMembers = emptySet<Member>()
 
     fun start() {
-        accountsExchange.start(scope)
+        accountsExchange.onStatement = ::receive
+        accountsExchange.start()
         scope.launchLoop("gossip", log) {
             while (true) {
                 tick()
@@ -133,12 +138,19 @@
         val nowMillis = clock.nowMillis()
         val sender = message.heartbeat.sender
         if (!accountsExchange.isNeeded) mergeAccounts(nowMillis, sender, message)
-        watcherSelection.recordPeerContact(nowMillis, message.storeAgeMillis)
+        message.store?.let { storeAccess.knowledge.receive(nowMillis, it) }
         shared.crashWatch.merge(message.quarantine)
         shared.rateLimits.merge(message.rateLimits)
-        catchUp(sender.url, message)
+        catchUp(sender.url, message.heartbeat.stateVersion, message.registryRevision)
         val reply = membership.receive(nowMillis, message.heartbeat, report()) ?: return ""
-        return WireJson.encodeToString(GossipMessage.serializer(), messageWith(reply.heartbeat))
+        return WireJson.encodeToString(GossipMessage.serializer(), messageWith(reply.heartbeat, sender.host))
+    }
+
+    /** Merges a peer's [statement] and fetches what is newer there. */
+    private fun receive(statement: StoreStatement) {
+        storeAccess.knowledge.receive(clock.nowMillis(), statement)
+        val sender = membership.find(statement.host) ?: return
+        catchUp(sender.url, statement.configuration?.version ?: 0, statement.registrations?.version ?: 0)
     }
 
     private fun mergeAccounts(nowMillis: Long, sender: Member, message: GossipMessage) {
@@ -147,18 +159,15 @@
         accounts.backlog.receive(nowMillis, sender.host, message.waiting)
     }
 
-    /** Fetches what [message] reports as newer from the peer at [url], unless the store watch delivers it first. */
-    private fun catchUp(url: String, message: GossipMessage) {
-        val newerConfiguration = message.heartbeat.stateVersion > fleetView.configurationVersion
-        val newerRegistrations = message.registryRevision > fleetView.registryRevision
-        if (fetching || (!newerConfiguration && !newerRegistrations)) return
+    /** Fetches what is newer at the peer at [url], which reports its versions, unless the store watch delivers it first. */
+    private fun catchUp(url: String, configurationVersion: Long, registryRevision: Long) {
+        val isBehind = { configurationVersion > fleetView.configurationVersion || registryRevision > fleetView.registryRevision }
+        if (fetching || !isBehind()) return
         fetching = true
         scope.launch {
             try {
                 if (watchesStore()) delay(STORE_HEAD_START_MILLIS.milliseconds)
-                val behind = message.heartbeat.stateVersion > fleetView.configurationVersion ||
-                    message.registryRevision > fleetView.registryRevision
-                if (behind) fetch(url)
+                if (isBehind()) fetch(url)
             } finally {
                 fetching = false
             }
@@ -200,22 +209,26 @@
     }
 
     /** Returns whether this host currently watches the store itself. */
-    fun watchesStore(): Boolean = watcherSelection.shouldWatch(clock.nowMillis(), membership.live().map { it.host })
+    fun watchesStore(): Boolean = storeAccess.isWatcher()
+
+    /** Passes on that this host has read the store. */
+    fun passOnStatement() = accountsExchange.exchangeAll()
 
     /** Sends this host's state to a few peers immediately, without waiting for the next heartbeat. */
     fun announce() {
         membership.announce(report()).forEach(::send)
     }
 
-    private fun messageWith(heartbeat: Heartbeat) = GossipMessage(
+    private fun messageWith(heartbeat: Heartbeat, recipient: HostId? = null) = GossipMessage(
         heartbeat,
         fleetView.registryRevision,
         if (accountsExchange.isNeeded) emptyMap() else accounts.startedWork.totals().toWholeTokens(),
         if (accountsExchange.isNeeded) emptyMap() else accounts.requestedWork.totals().toWholeTokens(),
         if (accountsExchange.isNeeded) emptySet() else accounts.waiting(),
-        watcherSelection.contactAgeMillis(clock.nowMillis()),
+        storeAccess.knowledge.configuration.ageMillis(clock.nowMillis()).coerceAtMost(CollectionKnowledge.MAX_AGE_MILLIS),
         shared.crashWatch.news(),
         shared.rateLimits.news(),
+        storeAccess.knowledge.statementFor(clock.nowMillis(), recipient),
     )
 
     private fun report() = HostReport(fleetView.configurationVersion, loadPermille = 0)
@@ -225,12 +238,13 @@
         if (members == knownMembers) return
         for (member in members - knownMembers) {
             log.stateChange("event=member host=${member.host} status=${member.status} incarnation=${member.incarnation}")
-            if (member.status == MemberStatus.DEAD) removeAccounts(member.host)
+            if (member.status == MemberStatus.DEAD) forget(member.host)
         }
         knownMembers = members
     }
 
-    private fun removeAccounts(host: HostId) {
+    private fun forget(host: HostId) {
+        storeAccess.knowledge.forget(host)
         accounts.startedWork.forget(host)
         accounts.requestedWork.forget(host)
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -1,9 +1,14 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
-import buckthornbay.core.membership.StoreWatcherSelection
+import buckthornbay.core.membership.CollectionKnowledge
+import buckthornbay.core.membership.StoreCall
+import buckthornbay.core.membership.StoreCallSchedule
+import buckthornbay.core.membership.StoreKnowledge
+import buckthornbay.core.membership.watchesStore
 import buckthornbay.core.registry.UpstreamRegistry
 import buckthornbay.core.wire.FleetFormat
+import buckthornbay.protocol.HostId
 import buckthornbay.store.CollectionChange
 import buckthornbay.store.CollectionChanges
 import buckthornbay.store.CollectionSnapshot
@@ -11,132 +16,149 @@
 import buckthornbay.store.StoreError
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
-import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import org.apache.commons.rng.UniformRandomProvider
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The reachability of the store from this host, and whether the host watches the store. */
-internal class StoreReachability(
-    private val watcherSelection: StoreWatcherSelection,
-    private val clock: Clock,
-    private val log: DecisionLog,
-    val watchesStore: () -> Boolean,
+/** What this host knows of the store, and the hosts with which it shares the calls. */
+internal class StoreAccess(
+    val self: HostId,
+    val knowledge: StoreKnowledge,
+    val bounds: BoundSettings,
+    val liveHosts: () -> List<HostId>,
 ) {
-    private var unreachable = false
-
-    /** Records a response of the store and returns its time in milliseconds. */
-    fun recordResponse(): Long {
-        val nowMillis = clock.nowMillis()
-        watcherSelection.recordStoreContact(nowMillis)
-        if (unreachable) log.stateChange("event=store_regained")
-        unreachable = false
-        return nowMillis
-    }
-
-    /** Records that peers watch the store in place of this host and returns the current time in milliseconds. */
-    fun delegatedToPeers(): Long {
-        unreachable = false
-        return clock.nowMillis()
-    }
-
-    /** Records that a call for objects of [kind] failed with [error]. */
-    fun recordFailure(kind: String, error: StoreError) {
-        if (!unreachable) log.warning("event=store_lost kind=$kind reason=\"$error\"")
-        unreachable = true
-    }
-
-    /** Logs that the store has compacted the history after [revision], so that the objects have to be listed again. */
-    fun logHistoryGone(kind: String, revision: Long?) = log.stateChange("event=store_history_gone kind=$kind revision=$revision")
+    /** Returns whether this host watches the store for the others. */
+    fun isWatcher(): Boolean = watchesStore(self, liveHosts())
 }
 
 /**
- * A watcher that keeps [fleetView] in sync with the store by one watch for the configuration and one for the registrations.
+ * A watcher that keeps [fleetView] in sync with the store, the configuration and the registrations separately.
  *
- * It watches while [StoreWatcherSelection] selects this host or nothing is known yet; otherwise peers deliver the changes.
+ * It calls the store when [StoreCallSchedule] says so; otherwise peers deliver the changes.
  */
 internal class StoreWatcher(
     private val store: ObjectCollections,
     private val format: FleetFormat,
     private val fleetView: FleetView,
     private val registry: UpstreamRegistry,
-    private val reachability: StoreReachability,
+    private val access: StoreAccess,
     private val random: UniformRandomProvider,
+    private val clock: Clock,
     private val log: DecisionLog,
 ) {
+    /** Called when a response of the store has been applied. */
+    var onResponse: () -> Unit = {}
+
     fun start(scope: CoroutineScope) {
-        scope.launchLoop("watch of the configuration", log) { keepInSync(WatchedConfiguration()) }
-        scope.launchLoop("watch of the registrations", log) { keepInSync(WatchedRegistrations()) }
+        val configuration = WatchedConfiguration()
+        val registrations = WatchedRegistrations()
+        scope.launchLoop("watch of the configuration", log) { keepInSync(configuration) }
+        scope.launchLoop("watch of the registrations", log) { keepInSync(registrations) }
     }
 
     /** A collection of the store that is kept in sync. */
-    private interface WatchedCollection {
-        val kind: String
+    private abstract inner class WatchedCollection(val kind: String, private val schedule: StoreCallSchedule) {
+        val knowledge: CollectionKnowledge get() = schedule.knowledge
+        private var lostAtMillis: Long? = null
 
         /** Whether this host has received any object of this kind. */
-        val isKnown: Boolean
-
-        /** Long-poll time of a watch call, in milliseconds; a hung call is given up after it and the response timeout. */
-        val watchMillis: Long
+        abstract val isKnown: Boolean
 
         /** Delay after a change before the next watch call, in milliseconds, in which further changes accumulate. */
-        val batchMillis: Long
+        abstract val batchMillis: Long
+
+        fun nextCall(): StoreCall {
+            val tookOver = schedule.takesOver
+            val ageMillis = knowledge.ageMillis(clock.nowMillis())
+            val call = schedule.next(clock.nowMillis(), access.liveHosts(), isKnown)
+            val takesOver = schedule.takesOver && !tookOver && isKnown
+            if (takesOver) log.stateChange("event=store_taken_over kind=$kind age_ms=$ageMillis")
+            return call
+        }
 
-        fun onSnapshot(snapshot: CollectionSnapshot)
+        fun onSnapshot(atMillis: Long, snapshot: CollectionSnapshot) {
+            apply(snapshot)
+            confirm(atMillis, snapshot.revision, changed = true)
+        }
+
+        fun onChanges(atMillis: Long, changes: CollectionChanges) {
+            apply(changes)
+            confirm(atMillis, changes.revision, changes.changes.isNotEmpty())
+        }
 
-        fun onChanges(changes: CollectionChanges)
+        private fun confirm(atMillis: Long, revision: Long, changed: Boolean) {
+            schedule.recordResponse(atMillis, revision, changed)
+            noteRegained()
+            onResponse()
+        }
+
+        /** Records that the store is reachable again once a response or a peer has confirmed the knowledge since the failure. */
+        fun noteRegained() {
+            val lost = lostAtMillis ?: return
+            if (knowledge.confirmedAtMillis < lost) return
+            lostAtMillis = null
+            log.stateChange("event=store_regained kind=$kind")
+            storeRegained()
+        }
+
+        fun recordFailure(error: StoreError) {
+            if (lostAtMillis == null) log.warning("event=store_lost kind=$kind reason=\"$error\"")
+            lostAtMillis = clock.nowMillis()
+            storeLost()
+        }
+
+        protected abstract fun apply(snapshot: CollectionSnapshot)
+
+        protected abstract fun apply(changes: CollectionChanges)
+
+        private fun storeLost() = registry.storeLost()
+
+        private fun storeRegained() = registry.storeRegained(clock.nowMillis())
     }
 
     private suspend fun keepInSync(watched: WatchedCollection) {
+        // A restart of this loop lists anew, since the changes at which it ended may end it again.
+        watched.knowledge.forgetRevision()
         var failures = 0
-        var revision: Long? = null
         while (true) {
-            if (watched.isKnown && !reachability.watchesStore()) {
-                revision = null
-                registry.storeRegained(reachability.delegatedToPeers())
-                delay(SELECTION_CHECK_MILLIS.milliseconds)
-                continue
+            val result = when (val call = watched.nextCall()) {
+                is StoreCall.Delegate -> {
+                    failures = 0
+                    watched.noteRegained()
+                    delay(call.millis.milliseconds)
+                    continue
+                }
+                is StoreCall.ListAll -> list(watched)
+                is StoreCall.Watch -> watch(watched, call)
             }
-            val next = revision?.let { watch(watched, it) } ?: list(watched)
-            failures = if (next.isOk) 0 else failures + 1
-            revision = next.getOrElse { error -> revisionAfter(watched, error, revision) }
-            if (failures > 0 && !next.isHistoryGone()) delay(backoffMillis(failures).milliseconds)
+            failures = if (result.isOk) 0 else failures + 1
+            if (failures > 0 && result.getError() != StoreError.HistoryGone) delay(backoffMillis(failures).milliseconds)
         }
     }
 
-    private suspend fun list(watched: WatchedCollection): Result<Long, StoreError> = store.list(watched.kind).map { snapshot ->
-        recordResponse()
-        watched.onSnapshot(snapshot)
-        snapshot.revision
+    private suspend fun list(watched: WatchedCollection): Result<Unit, StoreError> {
+        val sentAtMillis = clock.nowMillis()
+        return store.list(watched.kind).onFailure(watched::recordFailure).map { watched.onSnapshot(sentAtMillis, it) }
     }
 
-    private suspend fun watch(watched: WatchedCollection, revision: Long): Result<Long, StoreError> =
-        store.watch(watched.kind, revision, watched.watchMillis).map { changes ->
-            recordResponse()
-            watched.onChanges(changes)
+    private suspend fun watch(watched: WatchedCollection, call: StoreCall.Watch): Result<Unit, StoreError> {
+        val sentAtMillis = clock.nowMillis()
+        val result = store.watch(watched.kind, call.revision, call.waitMillis)
+        // The store answers when the wait is over; a response that took longer describes an earlier state.
+        val answeredAtMillis = minOf(clock.nowMillis(), sentAtMillis + call.waitMillis)
+        return result.onFailure { recordFailure(watched, it, call.revision) }.map { changes ->
+            watched.onChanges(answeredAtMillis, changes)
             if (changes.changes.isNotEmpty()) delay(watched.batchMillis.milliseconds)
-            maxOf(revision, changes.revision)
         }
-
-    /** Returns the revision from which to resume the watch after [error], or null if the objects have to be listed again. */
-    private fun revisionAfter(watched: WatchedCollection, error: StoreError, revision: Long?): Long? {
-        if (error == StoreError.HistoryGone) {
-            reachability.logHistoryGone(watched.kind, revision)
-            return null
-        }
-        recordFailure(watched.kind, error)
-        return revision
     }
 
-    private fun Result<Long, StoreError>.isHistoryGone(): Boolean = getError() == StoreError.HistoryGone
-
-    private fun recordResponse() = registry.storeRegained(reachability.recordResponse())
-
-    private fun recordFailure(kind: String, error: StoreError) {
-        registry.storeLost()
-        reachability.recordFailure(kind, error)
+    private fun recordFailure(watched: WatchedCollection, error: StoreError, revision: Long) {
+        if (error != StoreError.HistoryGone) return watched.recordFailure(error)
+        log.stateChange("event=store_history_gone kind=${watched.kind} revision=$revision")
+        watched.knowledge.forgetRevision()
     }
 
     private fun backoffMillis(failures: Int): Long {
@@ -144,33 +166,39 @@
         return upperMillis / 2 + (random.nextDouble() * upperMillis / 2).toLong()
     }
 
-    private inner class WatchedConfiguration : WatchedCollection {
-        override val kind = format.configurationKind
+    private inner class WatchedConfiguration :
+        WatchedCollection(
+            format.configurationKind,
+            access.run {
+                StoreCallSchedule(self, knowledge.configuration, bounds.configurationMillis, CONFIGURATION_WATCH_MILLIS)
+            },
+        ) {
         override val isKnown: Boolean get() = fleetView.configurationVersion > 0
-        override val watchMillis = CONFIGURATION_WATCH_MILLIS
         override val batchMillis = 0L
 
-        override fun onSnapshot(snapshot: CollectionSnapshot) = snapshot.objects.filter {
+        override fun apply(snapshot: CollectionSnapshot) = snapshot.objects.filter {
             it.name == format.configurationName
         }.forEach { fleetView.offerConfiguration(it.value, STORE) }
 
-        override fun onChanges(changes: CollectionChanges) = changes.changes.forEach { change ->
+        override fun apply(changes: CollectionChanges) = changes.changes.forEach { change ->
             if (change is CollectionChange.Put && change.stored.name == format.configurationName) {
                 fleetView.offerConfiguration(change.stored.value, STORE)
             }
         }
     }
 
-    private inner class WatchedRegistrations : WatchedCollection {
-        override val kind = format.registrationsKind
+    private inner class WatchedRegistrations :
+        WatchedCollection(
+            format.registrationsKind,
+            access.run { StoreCallSchedule(self, knowledge.registrations, bounds.drainMillis, REGISTRATIONS_WATCH_MILLIS) },
+        ) {
         override val isKnown: Boolean get() = fleetView.registryLoaded
-        override val watchMillis = REGISTRATIONS_WATCH_MILLIS
         override val batchMillis = BATCH_MILLIS
 
-        override fun onSnapshot(snapshot: CollectionSnapshot) =
+        override fun apply(snapshot: CollectionSnapshot) =
             fleetView.replaceRegistrations(snapshot.objects, snapshot.revision, STORE)
 
-        override fun onChanges(changes: CollectionChanges) = fleetView.applyRegistrations(changes.changes, changes.revision)
+        override fun apply(changes: CollectionChanges) = fleetView.applyRegistrations(changes.changes, changes.revision)
     }
 
     private companion object {
@@ -192,12 +220,6 @@
         /** Batching delay after changes of registrations, in milliseconds; upstreams that start together cost one call. */
         const val BATCH_MILLIS = 250L
 
-        /**
-         * Period at which a host that does not watch the store checks whether it should, in milliseconds; a tenth of the time
-         * within which changes must be applied.
-         */
-        const val SELECTION_CHECK_MILLIS = 250L
-
         /** Initial backoff after a failed call, in milliseconds; ten times the usual response time of the store. */
         const val FIRST_BACKOFF_MILLIS = 40L
         const val MAX_DOUBLINGS = 5
--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -29,12 +29,16 @@
 import kotlin.test.fail
 
 /** Gateway on loopback with a stand-in for the store and with scripted upstreams. */
-internal class GatewayFixture(val store: PlatformStoreServer, name: String = "edge-1", seeds: List<String> = emptyList()) :
-    AutoCloseable {
+internal class GatewayFixture(
+    val store: PlatformStoreServer,
+    name: String = "edge-1",
+    seeds: List<String> = emptyList(),
+    storeAddress: String = store.address,
+    ports: List<Int> = freeLoopbackPorts(PORT_COUNT),
+) : AutoCloseable {
     private val upstreams = ArrayList<ScriptedUpstream>()
     private val registered = LinkedHashMap<String, JsonElement>()
     private var version = 0
-    private val ports = freeLoopbackPorts(4)
     val settings = GatewaySettings(
         host = HostId(name),
         region = RegionId("region"),
@@ -46,7 +50,7 @@
             control = "127.0.0.1:${ports[2]}",
             addresses = "127.0.0.1:${ports[3]}",
         ),
-        store = StoreSettings(store.address),
+        store = StoreSettings(storeAddress),
         bounds = BoundSettings(
             graceSeconds = 4.0,
             retryRatio = 0.2,
@@ -124,6 +128,9 @@
     }
 
     companion object {
+        /** Number of ports that a gateway listens on. */
+        const val PORT_COUNT = 4
+
         /** Runs [test] against a started gateway; by default, [prepare] writes a manifest to the store. */
         fun run(
             prepare: GatewayFixture.() -> Unit = { manifest() },
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
@@ -4,6 +4,7 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
 import io.ktor.server.request.receiveText
@@ -25,6 +26,8 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Faults injected into a [PlatformStoreServer]; they can be switched at any time. */
@@ -33,6 +36,14 @@
     @Volatile
     public var busy: Boolean = false
 
+    /** Kinds of objects for which it responds to every request with status 503, also to watches that are already waiting. */
+    @Volatile
+    public var busyKinds: Set<String> = emptySet()
+
+    /** Addresses at which it responds to every request with status 503, also to watches that are already waiting. */
+    @Volatile
+    public var busyAddresses: Set<String> = emptySet()
+
     /** Never responds, not even to watches that are already waiting. */
     @Volatile
     public var silent: Boolean = false
@@ -57,8 +68,10 @@
  * ```kotlin
  * PlatformStoreServer().use { store -> store.put("config", "main", manifest) }
  * ```
+ *
+ * @param addressCount number of addresses to listen on; a router that has one for itself can be told apart from others.
  */
-public class PlatformStoreServer(private val pageSize: Int = 500) : AutoCloseable {
+public class PlatformStoreServer(private val pageSize: Int = 500, addressCount: Int = 1) : AutoCloseable {
     private class Stored(val spec: JsonElement, val revision: Long)
 
     private class Event(val revision: Long, val kind: String, val name: String, val stored: Stored?)
@@ -73,7 +86,18 @@
 
     @Volatile
     private var calls = 0
-    private val server: EmbeddedServer<*, *> = embeddedServer(Netty, port = 0, host = LOOPBACK) {
+    private val watching = ConcurrentHashMap<String, AtomicInteger>()
+    private val server: EmbeddedServer<*, *> = embeddedServer(
+        Netty,
+        configure = {
+            repeat(addressCount) {
+                connector {
+                    host = LOOPBACK
+                    port = 0
+                }
+            }
+        },
+    ) {
         routing {
             get("/v1/objects/{kind}") { withFaults { if (parameter("Watch") != null) watch() else list() } }
             post("/v1/objects/{kind}") { withFaults { create() } }
@@ -82,8 +106,14 @@
         }
     }.start(wait = false)
 
-    /** The listen address, as `IP:PORT`. */
-    public val address: String = runBlocking { "$LOOPBACK:${server.engine.resolvedConnectors().single().port}" }
+    /** The listen addresses, as `IP:PORT`. */
+    public val addresses: List<String> = runBlocking { server.engine.resolvedConnectors().map { "$LOOPBACK:${it.port}" } }
+
+    /** The first listen address. */
+    public val address: String get() = addresses.first()
+
+    /** Addresses at which watches are waiting now. */
+    public val watchedAddresses: Set<String> get() = watching.filterValues { it.get() > 0 }.keys.toSet()
 
     /** Number of requests received so far, including those that a fault failed. */
     public val callCount: Int get() = calls
@@ -123,7 +153,7 @@
     private suspend fun io.ktor.server.routing.RoutingContext.withFaults(answer: suspend ApplicationCall.() -> Unit) {
         calls++
         if (isSilent(call)) awaitCancellation()
-        if (faults.busy) return call.respond(HttpStatusCode.ServiceUnavailable)
+        if (faults.busy || isBusy(call)) return call.respond(HttpStatusCode.ServiceUnavailable)
         delay(faults.delayMillis.milliseconds)
         call.answer()
     }
@@ -145,10 +175,21 @@
     }
 
     private suspend fun ApplicationCall.watch() {
+        val waiting = watching.getOrPut(listenAddress()) { AtomicInteger() }
+        waiting.incrementAndGet()
+        try {
+            awaitChanges()
+        } finally {
+            waiting.decrementAndGet()
+        }
+    }
+
+    private suspend fun ApplicationCall.awaitChanges() {
         val since = checkNotNull(parameter("Watch")?.toLongOrNull()) { "the Watch parameter must be a revision number" }
         val endNanos = System.nanoTime() + (parameter("WaitMs")?.toLong() ?: 0) * NANOS_PER_MILLI
         while (true) {
             if (isSilent(this)) awaitCancellation()
+            if (isBusy(this)) return respond(HttpStatusCode.ServiceUnavailable)
             val (gone, events, now) = synchronized(this@PlatformStoreServer) {
                 Triple(since < oldestRevision, history.filter { it.kind == kind() && it.revision > since }, revision)
             }
@@ -207,6 +248,11 @@
 
     private fun isSilent(call: ApplicationCall): Boolean = faults.silent || call.kind() in faults.silentKinds
 
+    private fun isBusy(call: ApplicationCall): Boolean =
+        call.kind() in faults.busyKinds || call.listenAddress() in faults.busyAddresses
+
+    private fun ApplicationCall.listenAddress(): String = "$LOOPBACK:${request.local.localPort}"
+
     private fun ApplicationCall.kind(): String = checkNotNull(parameters["kind"]) { "the path has no object kind" }
 
     private fun ApplicationCall.parameter(name: String): String? = request.queryParameters[name]
