Let failed calls for the configuration say nothing about the registrations

Callers saw: while the store rejected calls for the configuration only, requests went on to an upstream whose registration was removed, for as long as that lasted.

Cause: both watches shared one flag. Each failed call for the configuration marked the store as lost for the registrations too, and the next answer about the registrations marked it as recovered at that moment, so that the time to keep removed upstreams after a recovery never ended. Now only the watch of the registrations decides whether they can be read.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -114,9 +114,9 @@
 
         protected abstract fun apply(changes: CollectionChanges)
 
-        private fun storeLost() = registry.storeLost()
+        protected open fun storeLost() = Unit
 
-        private fun storeRegained() = registry.storeRegained(clock.nowMillis())
+        protected open fun storeRegained() = Unit
     }
 
     private suspend fun keepInSync(watched: WatchedCollection) {
@@ -199,6 +199,10 @@
             fleetView.replaceRegistrations(snapshot.objects, snapshot.revision, STORE)
 
         override fun apply(changes: CollectionChanges) = fleetView.applyRegistrations(changes.changes, changes.revision)
+
+        override fun storeLost() = registry.storeLost()
+
+        override fun storeRegained() = registry.storeRegained(clock.nowMillis())
     }
 
     private companion object {
--- a/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
@@ -179,6 +179,17 @@
         GatewayFixture.awaitTrue("the removed upstream is not used", limitMillis = AFTER_OUTAGE_MILLIS) { read().status == 503 }
     }
 
+    /** Failed watches of the configuration say nothing about the registrations, which are still read. */
+    @Test
+    fun aRemovedUpstreamIsUsedOnWhileTheConfigurationCannotBeRead() = GatewayFixture.run {
+        upstream("plain-1", "plain") { it.answer() }
+        awaitReady()
+        store.faults.busyKinds = setOf("config")
+        delay(WATCH_RESTART_MILLIS)
+        store.remove("servers", "plain-1")
+        GatewayFixture.awaitTrue("the removed upstream is not used", limitMillis = AFTER_OUTAGE_MILLIS) { read().status == 503 }
+    }
+
     @Test
     fun aSilentWatchTimesOutWhileRequestsAreServed() = GatewayFixture.run {
         upstream("plain-1", "plain") { it.answer() }
