Treat a response without an end of its own as broken off if its upstream has crashed

Cause: the end of the connection ends a response that has neither a length nor chunks, and a process that crashes between two events, or in a body, closes its connections like one that has finished. The router took this end as certain and added a last chunk or a Content-Length.

Now the router asks first whether the upstream still accepts a connection. If not, the response counts as broken off: it is resumed, repeated, broken off or answered with 502. Passed on, such a response ends with the caller's connection, as it came; broken off, the connection is reset.

Evidence: six tests of UnframedResponseTest failed on (20 of 20 streams ended as complete; a partial body delivered with a length) and pass now.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -14,8 +14,17 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 
-/** A complete response that is not an event stream. The receiver must release [body]. */
-internal class BufferedResponse(val status: HttpResponseStatus, val headers: HttpHeaders, val body: ByteBuf)
+/**
+ * A complete response that is not an event stream. The receiver must release [body].
+ *
+ * @property isFramed whether the upstream marked the end of the body other than by closing the connection.
+ */
+internal class BufferedResponse(
+    val status: HttpResponseStatus,
+    val headers: HttpHeaders,
+    val body: ByteBuf,
+    val isFramed: Boolean,
+)
 
 /** A listener for the progress and the result of an [Attempt]. */
 internal interface AttemptListener {
@@ -25,8 +34,8 @@
     /** Tokens that the request asks an engine for; null for plain services. */
     val demand: TokenDemand?
 
-    /** Called before the first event of a stream, with the [status] and [headers] of the upstream. */
-    fun streamStarted(attempt: Attempt, status: HttpResponseStatus, headers: HttpHeaders)
+    /** Called before the first event of a stream, with the head of the response; [isFramed] as in [BufferedResponse]. */
+    fun streamStarted(attempt: Attempt, head: HttpResponse, isFramed: Boolean)
 
     /** Called for each complete event. The listener must release its bytes. */
     fun eventReceived(attempt: Attempt, event: StreamEvent)
@@ -164,15 +173,15 @@
         if (streaming && !ended) listener.eventBatchComplete(this)
     }
 
-    override fun complete() {
+    override fun complete(withConnection: Boolean) {
         connection = null
         upstream.recordActivity()
-        if (framing != null) completeStream() else completeBuffered()
+        if (framing != null) completeStream(withConnection) else completeBuffered(withConnection)
     }
 
     override fun broken(reason: String) {
         if (!ended && !proven) {
-            listener.demand?.let { context.access.crashWatch.connectionLost(upstream.entry, id, it, sentAtMillis) }
+            listener.demand?.let { context.access.crashWatch.connectionLost(upstream.entry, it, sentAtMillis) }
         }
         failBroken(reason)
     }
@@ -199,21 +208,41 @@
         streaming = true
         firstEventAtMillis = context.clock.nowMillis()
         recordLoad(head)
-        listener.streamStarted(this, head.status(), head.headers())
+        listener.streamStarted(this, head, hasOwnEnd())
     }
 
-    private fun completeStream() {
+    private fun completeStream(withConnection: Boolean) {
         if (!streaming && !hasOwnEnd()) return broken("the connection was closed before the first event")
         if (framing?.endsWithinEvent == true) return broken("the stream ended within an event")
         if (!streaming) startStream()
+        verifyEnd(withConnection, ::endStream)
+    }
+
+    private fun endStream() {
         if (ended) return
-        recordEnd()
+        recordProof()
         val trailingLines = framing?.takeRest()
         end(SendOutcome.ANSWERED)
         listener.streamEnded(this, trailingLines)
     }
 
-    private fun completeBuffered() {
+    /**
+     * Calls [onComplete], unless only the end of the connection marks that of the response and the upstream accepts no new one:
+     * it has crashed, so that the response is probably cut off.
+     */
+    private fun verifyEnd(withConnection: Boolean, onComplete: () -> Unit) {
+        if (!withConnection || hasOwnEnd()) return onComplete()
+        incompleteEventSinceMillis = null
+        context.access.probe.check(upstream.entry) { reachable ->
+            when {
+                ended -> Unit
+                reachable -> onComplete()
+                else -> broken("the connection ended, and the upstream accepts no new one")
+            }
+        }
+    }
+
+    private fun completeBuffered(withConnection: Boolean) {
         val head = checkNotNull(response) { "the response body ended without response headers" }
         recordLoad(head)
         val status = head.status()
@@ -230,16 +259,23 @@
                     SendOutcome.FAILED,
                     "the answer ${status.code()} is not the upstream's own",
                 )
-            else -> {
-                val answer = BufferedResponse(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER)
-                body = null
-                if (status.code() in SUCCESS) recordEnd()
-                end(if (status.code() >= FIRST_SERVER_ERROR) SendOutcome.FAILED else SendOutcome.ANSWERED)
-                listener.responseReceived(this, answer)
+            status.code() in SUCCESS -> verifyEnd(withConnection) {
+                recordProof()
+                deliver(head, withConnection)
             }
+            else -> deliver(head, withConnection)
         }
     }
 
+    private fun deliver(head: HttpResponse, withConnection: Boolean) {
+        val status = head.status()
+        val isFramed = hasOwnEnd() || !withConnection
+        val answer = BufferedResponse(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER, isFramed)
+        body = null
+        end(if (status.code() >= FIRST_SERVER_ERROR) SendOutcome.FAILED else SendOutcome.ANSWERED)
+        listener.responseReceived(this, answer)
+    }
+
     /**
      * Returns whether a successful response comes from the upstream itself, unchanged by an intermediary: it must carry the
      * upstream's signature and the attempt id, which [head] compares, and must have no content encoding.
@@ -256,13 +292,6 @@
     private fun hasOwnEnd(): Boolean =
         response?.let { HttpUtil.isTransferEncodingChunked(it) || HttpUtil.isContentLengthSet(it) } == true
 
-    /** Records that the response is complete, which proves that the upstream survived it only if it has an end of its own. */
-    private fun recordEnd() {
-        if (proven) return
-        if (hasOwnEnd()) return recordProof()
-        listener.demand?.let { context.access.crashWatch.endedWithConnection(upstream.entry, id, it, sentAtMillis) }
-    }
-
     /** Records that the upstream survived the beginning of this response. */
     private fun recordProof() {
         if (proven) return
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -1,11 +1,14 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelException
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -21,6 +24,8 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * The server side of a caller's HTTP connection, which handles pipelined requests one at a time and answers them in order.
  *
@@ -37,6 +42,9 @@
     private var closing = false
     private var streaming = false
 
+    /** Whether only the end of the connection marks that of the response in progress. */
+    private var endsWithConnection = false
+
     /** Time of the last read or response, in milliseconds. */
     private var activeAtMillis = clock.nowMillis()
 
@@ -117,14 +125,28 @@
     /** Closes the connection at once, so that the caller recognises a partial response as truncated. */
     fun abort() {
         work = null
+        if (streaming && endsWithConnection) resetOnClose()
         close()
     }
 
-    /** Sends a complete response. [headers] must not contain connection-specific headers. */
-    fun answer(status: HttpResponseStatus, headers: HttpHeaders?, body: ByteBuf) {
+    /** A regular close would look like the end of a response that has no other end. */
+    private fun resetOnClose() {
+        try {
+            context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
+        } catch (e: ChannelException) {
+            logger.warn(e) { "event=reset_failed" }
+        }
+    }
+
+    /**
+     * Sends a complete response. [headers] must not contain connection-specific headers.
+     *
+     * If the response [isFramed], it gets a length; otherwise it ends with the connection, as it came.
+     */
+    fun answer(status: HttpResponseStatus, headers: HttpHeaders?, body: ByteBuf, isFramed: Boolean = true) {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
         headers?.let { response.headers().add(it) }
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        if (isFramed) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes()) else keepAlive = false
         finish(response)
     }
 
@@ -138,11 +160,16 @@
         finish(response)
     }
 
-    /** Starts a chunked response, whose length is not known in advance. */
-    fun beginStream(status: HttpResponseStatus, headers: HttpHeaders) {
+    /**
+     * Starts a response whose length is not known in advance.
+     *
+     * If the response [isFramed], it is sent in chunks; otherwise it ends with the connection, as it came.
+     */
+    fun beginStream(status: HttpResponseStatus, headers: HttpHeaders, isFramed: Boolean) {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().add(headers)
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (isFramed) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED) else keepAlive = false
+        endsWithConnection = !isFramed
         setConnectionHeader(response.headers())
         streaming = true
         context.write(response)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -41,7 +41,7 @@
             caller.fail(HttpResponseStatus.BAD_GATEWAY, "the upstream answered ${status.code()} without saying that nothing ran")
             return
         }
-        caller.answer(status, responseHeadersToForward(answer.headers), answer.body)
+        caller.answer(status, responseHeadersToForward(answer.headers), answer.body, answer.isFramed)
     }
 
     private fun refusalInputs(nowMillis: Long, retryAfterSeconds: String) = RefusalInputs(
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -8,8 +8,6 @@
 import buckthornbay.core.quarantine.QuarantineVerdict
 import buckthornbay.core.quarantine.Suspect
 import buckthornbay.core.registry.UpstreamEntry
-import io.netty.channel.EventLoop
-import java.util.concurrent.TimeUnit
 
 /**
  * Recognizes crashes of upstreams and keeps the quarantine of the prompt parts that cause them.
@@ -19,25 +17,14 @@
  */
 internal class CrashWatch(
     private val quarantine: PromptQuarantine,
-    private val connections: ConnectionPool,
-    private val eventLoop: EventLoop,
+    private val probe: UpstreamProbe,
     private val clock: Clock,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     private val isTrialHost: (part: String) -> Boolean,
 ) {
-    /**
-     * A request whose connection the upstream closed.
-     *
-     * @property answered whether the response was complete if the upstream didn't crash.
-     */
-    private class LostRequest(val id: String, val demand: TokenDemand, val sentAtMillis: Long, val answered: Boolean) {
-        val suspects: List<Suspect>
-            get() = demand.sharedParts.mapIndexed { position, part -> Suspect(part.id, position, sentAtMillis) }
-    }
-
-    /** Requests whose connection an upstream closed while a check of the upstream is pending. */
-    private val lostRequests = HashMap<UpstreamEntry, MutableList<LostRequest>>()
+    /** Parts of the requests whose connection an upstream closed while a check of the upstream is pending. */
+    private val suspects = HashMap<UpstreamEntry, MutableList<Suspect>>()
 
     /** Called when parts are quarantined. */
     var onQuarantined: () -> Unit = {}
@@ -57,13 +44,21 @@
     /** Returns whether a failed request with [demand] must not be repeated, because it may crash the next upstream as well. */
     fun isSuspected(demand: TokenDemand): Boolean = quarantine.isSuspected(demand)
 
-    /** Records that [upstream] closed the connection of request [id], sent at [sentAtMillis], before it answered. */
-    fun connectionLost(upstream: UpstreamEntry, id: String, demand: TokenDemand, sentAtMillis: Long) =
-        checkAfterClose(upstream, LostRequest(id, demand, sentAtMillis, answered = false))
-
-    /** Records that the response to a request ended with its connection, as that of a crashed upstream does too. */
-    fun endedWithConnection(upstream: UpstreamEntry, id: String, demand: TokenDemand, sentAtMillis: Long) =
-        checkAfterClose(upstream, LostRequest(id, demand, sentAtMillis, answered = true))
+    /** Records that [upstream] closed the connection of a request, sent at [sentAtMillis], before it answered. */
+    fun connectionLost(upstream: UpstreamEntry, demand: TokenDemand, sentAtMillis: Long) {
+        if (demand.sharedParts.isEmpty()) return
+        val lost = demand.sharedParts.mapIndexed { position, part -> Suspect(part.id, position, sentAtMillis) }
+        val pending = suspects[upstream]
+        if (pending != null) {
+            pending += lost
+            return
+        }
+        suspects[upstream] = lost.toMutableList()
+        probe.check(upstream) { reachable ->
+            val checked = suspects.remove(upstream).orEmpty()
+            if (!reachable) recordCrash(upstream, checked)
+        }
+    }
 
     /** Records that request [id] with [demand] is being answered. */
     fun answered(id: String, demand: TokenDemand) = apply(quarantine.recordAnswered(clock.nowMillis(), id, demand))
@@ -77,26 +72,6 @@
 
     fun expire() = quarantine.expire(clock.nowMillis())
 
-    private fun checkAfterClose(upstream: UpstreamEntry, request: LostRequest) {
-        if (request.demand.sharedParts.isEmpty()) return
-        val pending = lostRequests[upstream]
-        if (pending != null) {
-            pending += request
-            return
-        }
-        lostRequests[upstream] = mutableListOf(request)
-        eventLoop.schedule({ check(upstream) }, CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS)
-    }
-
-    private fun check(upstream: UpstreamEntry) = connections.checkReachable(upstream.address) { reachable ->
-        val requests = lostRequests.remove(upstream).orEmpty()
-        if (reachable) {
-            requests.filter { it.answered }.forEach { answered(it.id, it.demand) }
-        } else {
-            recordCrash(upstream, requests.flatMap { it.suspects })
-        }
-    }
-
     private fun recordCrash(upstream: UpstreamEntry, suspects: List<Suspect>) {
         val parts = suspects.map { it.part }.distinct()
         log.stateChange("event=upstream_crashed upstream=${upstream.id} unanswered_parts=${parts.joinToString(",")}")
@@ -123,9 +98,4 @@
         metrics.quarantinedParts(quarantine.sinceMillisByPart, clock)
         if (changes.any { it is QuarantineChange.Quarantined }) onQuarantined()
     }
-
-    private companion object {
-        /** Time between a lost connection and the check, in milliseconds; a process that ends closes its sockets one by one. */
-        const val CHECK_DELAY_MILLIS = 20L
-    }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -13,6 +13,7 @@
 internal class UpstreamAccess(
     val upstreams: UpstreamTable,
     val connections: ConnectionPool,
+    val probe: UpstreamProbe,
     val retryBudgets: RetryBudgets,
     val crashWatch: CrashWatch,
     val rateLimits: RateLimitWatch,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -107,7 +107,8 @@
         log,
         scope,
     )
-    private val crashWatch = CrashWatch(PromptQuarantine(), connections, eventLoop, clock, log, metrics) { part ->
+    private val probe = UpstreamProbe(connections, eventLoop)
+    private val crashWatch = CrashWatch(PromptQuarantine(), probe, clock, log, metrics) { part ->
         rendezvousOrder(part, membership.live().map { it.host }).first() == settings.host
     }
     private val peers = PeerExchange(
@@ -148,7 +149,7 @@
         clock,
         eventLoop,
         deployment.callerInterface,
-        UpstreamAccess(upstreams, connections, retryBudgets, crashWatch, rateLimits, noticeWatch),
+        UpstreamAccess(upstreams, connections, probe, retryBudgets, crashWatch, rateLimits, noticeWatch),
         Admission(AdmissionPolicy(random), shares, CallerRetryTracker()),
         accounts,
         log,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
@@ -26,8 +26,8 @@
     /** Receives a part of the body, which is released after the call. */
     fun content(bytes: ByteBuf)
 
-    /** Called when the response is complete. */
-    fun complete()
+    /** Called when the response is complete; [withConnection] tells that the end of the connection is its end. */
+    fun complete(withConnection: Boolean)
 
     /** Called when the connection was lost or undecodable bytes arrived before the response was complete. */
     fun broken(reason: String)
@@ -165,7 +165,7 @@
         if (failure != null) return fail(failure.orEmpty())
         listener = null
         finished = !keepAlive || lastWrite?.isSuccess != true
-        current.complete()
+        current.complete(withConnection = !channel.isActive)
     }
 
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
@@ -83,7 +83,7 @@
             broken("the response body is longer than $MAX_BODY_BYTES bytes")
         }
 
-        override fun complete() {
+        override fun complete(withConnection: Boolean) {
             connection = null
             reply.complete(Ok(HttpReply(status, body.text())))
         }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -19,7 +19,7 @@
 import buckthornbay.protocol.UpstreamId
 import buckthornbay.protocol.WorkspaceId
 import io.netty.buffer.ByteBuf
-import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
@@ -169,14 +169,14 @@
         attempt?.setReading(writable)
     }
 
-    override fun streamStarted(attempt: Attempt, status: HttpResponseStatus, headers: HttpHeaders) {
+    override fun streamStarted(attempt: Attempt, head: HttpResponse, isFramed: Boolean) {
         context.dispatcher.place(service)
         if (lifecycle.state == RequestState.STREAMING) return
         lifecycle.responseStarted()
         responseStarted = true
         streamTimes.recordFirstEvent(context.clock.nowMillis() - terms.arrivedAtMillis)
         context.metrics.recordFirstEvent(terms, context.clock.nowMillis())
-        caller.beginStream(status, responseHeadersToForward(headers))
+        caller.beginStream(head.status(), responseHeadersToForward(head.headers()), isFramed)
     }
 
     override fun eventReceived(attempt: Attempt, event: StreamEvent) {
@@ -311,7 +311,7 @@
         }
     }
 
-    /** Closes the caller's connection in the middle of a response, so that the caller sees a truncated body. */
+    /** Breaks off the response, so that the caller sees that it is truncated. */
     private fun abortStream(reason: String) {
         finish(reason)
         caller.abort()
--- a/router/src/test/kotlin/buckthornbay/router/gateway/StoreWatchersTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/StoreWatchersTest.kt
@@ -22,7 +22,8 @@
             val ports = freeLoopbackPorts(HOSTS * GatewayFixture.PORT_COUNT).chunked(GatewayFixture.PORT_COUNT)
             val first = GatewayFixture(store, ports = ports.first())
             val seeds = listOf(first.settings.listen.control)
-            val others = List(HOSTS - 1) { GatewayFixture(store, "edge-${it + 2}", seeds, store.addresses[it + 1], ports[it + 1]) }
+            val others =
+                List(HOSTS - 1) { GatewayFixture(store, "edge-${it + 2}", seeds, store.addresses[it + 1], ports[it + 1]) }
             val fleet = listOf(first) + others
             first.manifest()
             first.upstream("plain-1", "plain") { it.answer() }
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
@@ -2,6 +2,13 @@
 
 import buckthornbay.testkit.platform.CallerAnswer
 import buckthornbay.testkit.platform.ScriptedExchange
+import buckthornbay.testkit.platform.ScriptedUpstream
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import java.util.concurrent.CountDownLatch
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -137,4 +144,102 @@
         assertFalse(answer.complete)
         assertEquals((1..3).joinToString("") { event(it) }, answer.body)
     }
+
+    /** Starts an upstream of [service] that answers with [begin] and then ends like a process that crashes. */
+    private fun GatewayFixture.crashingUpstream(service: String, begin: ScriptedExchange.() -> Unit): ScriptedUpstream {
+        lateinit var crashing: ScriptedUpstream
+        crashing = upstream("$service-crashing", service) { exchange ->
+            exchange.begin()
+            Thread.sleep(50)
+            crashing.close()
+        }
+        return crashing
+    }
+
+    /** A crashed engine closes such a connection between two events just like one that has finished. */
+    @Test
+    fun aStreamWhoseUpstreamCrashesBetweenEventsIsResumedInsteadOfEndedAsComplete() = GatewayFixture.run {
+        crashingUpstream("models") {
+            beginResponse()
+            events(1..3)
+        }
+        awaitReady()
+        val caller = caller()
+        caller.send(request("/stream/x", method = "POST", body = "a"))
+        delay(30)
+        upstream("models-sound", "models") { it.wholeStream() }
+        assertWhole(caller.use { it.answer() })
+    }
+
+    @Test
+    fun aStreamThatCannotBeResumedIsBrokenOffWhenItsUpstreamCrashesBetweenEvents() = GatewayFixture.run {
+        crashingUpstream("models") {
+            beginResponse()
+            events(1..3)
+        }
+        awaitReady()
+        val answer = call(request("/once/x", method = "POST", body = "a"))
+        assertEquals((1..3).joinToString("") { event(it) }, answer.body)
+        assertFalse(answer.complete, "the connection is reset, since its regular close would be the end of the response")
+    }
+
+    /** The upstream may have been cut off in the middle of the body. */
+    @Test
+    fun aBodyWhoseUpstreamCrashesIsNotDeliveredAsComplete() = GatewayFixture.run {
+        crashingUpstream("plain") {
+            beginResponse(more = "")
+            write("part of a bo")
+        }
+        awaitReady()
+        assertEquals(502, call(request("/charge/x", method = "POST", body = "a")).status)
+    }
+
+    @Test
+    fun aRepeatableRequestWhoseUpstreamCrashesInTheBodyIsRepeated() = GatewayFixture.run {
+        crashingUpstream("plain") {
+            beginResponse(more = "")
+            write("part of a bo")
+        }
+        awaitReady()
+        val caller = caller()
+        caller.send(request("/read/x"))
+        delay(30)
+        upstream("plain-sound", "plain") { it.answer(body = "whole") }
+        assertEquals("whole", caller.use { it.answer() }.body)
+    }
+
+    /** Under load, many responses end with the crash at once. */
+    @Test
+    fun noStreamOfManyIsEndedAsCompleteWhenTheUpstreamCrashes() = GatewayFixture.run {
+        val begun = CountDownLatch(STREAMS)
+        lateinit var crashing: ScriptedUpstream
+        crashing = upstream("models-crashing", "models") { exchange ->
+            exchange.beginResponse()
+            exchange.events(1..3)
+            begun.countDown()
+            begun.await()
+            crashing.close()
+        }
+        awaitReady()
+        val answers = coroutineScope {
+            val calls = List(STREAMS) { number ->
+                async(Dispatchers.IO) { call(request("/once/x", "id-$number", method = "POST", body = "a")) }
+            }
+            calls.awaitAll()
+        }
+        assertEquals(0, answers.count { it.complete && it.status == 200 }, "of $STREAMS streams that were cut off")
+    }
+
+    /** The router vouches for no end that the upstream didn't mark. */
+    @Test
+    fun aResponseThatEndsWithItsConnectionGetsNeitherLengthNorChunks() {
+        val stream = play { wholeStream() }
+        val framing = setOf("content-length", "transfer-encoding")
+        assertEquals(emptySet(), stream.headers.keys intersect framing)
+        assertEquals("close", stream.headers["connection"])
+    }
+
+    private companion object {
+        const val STREAMS = 20
+    }
 }
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/CallerAnswer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/CallerAnswer.kt
@@ -8,7 +8,8 @@
  *
  * @property headers headers by lower-case name; the last one wins if a name is repeated.
  * @property body the body with the chunked encoding removed.
- * @property complete whether the head and the body were received in full.
+ * @property complete whether the head and the body were received in full; a body that has no length and no chunks ends with a
+ * regular close of the connection.
  */
 public class CallerAnswer(
     public val status: Int,
@@ -34,7 +35,7 @@
         val headers = lines.headers() ?: return CallerAnswer(status, emptyMap(), "", complete = false)
         val headersByName = headers.toMap()
         if (headersByName["transfer-encoding"] == "chunked") return chunked(status, headersByName)
-        val length = headersByName["content-length"]?.toInt() ?: 0
+        val length = headersByName["content-length"]?.toInt() ?: return untilClose(status, headersByName)
         val bytes = lines.bytes(length)
         return CallerAnswer(status, headersByName, bytes.decodeToString(), bytes.size == length)
     }
@@ -50,7 +51,17 @@
         }
     }
 
+    private fun untilClose(status: Int, headers: Map<String, String>): CallerAnswer {
+        val hasNoBody = status < FIRST_WITH_BODY || status == NO_CONTENT || status == NOT_MODIFIED
+        if (hasNoBody) return CallerAnswer(status, headers, "", complete = true)
+        val (bytes, complete) = lines.bytesToEnd()
+        return CallerAnswer(status, headers, bytes.decodeToString(), complete)
+    }
+
     private companion object {
+        const val FIRST_WITH_BODY = 200
+        const val NO_CONTENT = 204
+        const val NOT_MODIFIED = 304
         const val HEXADECIMAL = 16
     }
 }
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/HttpLines.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/HttpLines.kt
@@ -42,6 +42,20 @@
         return bytes.toByteArray()
     }
 
+    /** Returns all bytes until the connection ends, and whether it ends regularly rather than by a read error. */
+    fun bytesToEnd(): Pair<ByteArray, Boolean> {
+        val bytes = ByteArrayOutputStream()
+        while (true) {
+            val byte = try {
+                input.read()
+            } catch (e: IOException) {
+                if (isEof(e)) return bytes.toByteArray() to false else throw e
+            }
+            if (byte < 0) return bytes.toByteArray() to true
+            bytes.write(byte)
+        }
+    }
+
     private fun read(): Int = try {
         input.read()
     } catch (e: IOException) {
