Bound the bodies and incomplete events of all connections of a host together

Cause: one response was bounded at 4 MB, all together were not; 60 of them are more than the direct memory of the deploy file's process.

Now they share a quarter of that memory, and the largest one is dropped when it is exceeded, whoever asked last. Bodies are copied, so that a slice doesn't keep its whole read.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -1,11 +1,11 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.admission.BufferBudget
 import buckthornbay.core.load.LoadReport
 import buckthornbay.core.load.SendOutcome
 import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.request.FailureKind
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -15,16 +15,23 @@
 import io.netty.handler.codec.http.HttpUtil
 
 /**
- * A complete response that is not an event stream. The receiver must release [body].
+ * A complete response that is not an event stream. The receiver must [release] it, or its [body] and its [memory].
  *
+ * @property memory what the body holds of the memory for buffers.
  * @property isFramed whether the upstream marked the end of the body other than by closing the connection.
  */
 internal class BufferedResponse(
     val status: HttpResponseStatus,
     val headers: HttpHeaders,
     val body: ByteBuf,
+    val memory: BufferBudget.Share,
     val isFramed: Boolean,
-)
+) {
+    fun release() {
+        body.release()
+        memory.release()
+    }
+}
 
 /** A listener for the progress and the result of an [Attempt]. */
 internal interface AttemptListener {
@@ -63,13 +70,15 @@
 ) : ResponseListener {
     private var connection: HttpConnection? = null
     private var response: HttpResponse? = null
-    private var body: CompositeByteBuf? = null
+    private var body: ByteBuf? = null
+    private val memory = context.buffers.share { failAndClose("all connections together buffer too much, this one the most") }
     private var framing: EventStreamFraming? = null
     private var streaming = false
     private var ended = false
     private var incompleteEventSinceMillis: Long? = null
     private var firstEventAtMillis = 0L
     private var proven = false
+    private var isHandedOver = false
 
     /** Whether the request may be sent to another upstream when this attempt fails. */
     val mayRetry: Boolean get() = listener.mayRetry
@@ -154,13 +163,16 @@
         if (framing != null) {
             framing.feed(bytes, ::forwardEvent)
             checkIncompleteEvent(framing)
+            if (!ended) memory.resize(framing.bufferedBytes.toLong())
             return
         }
         if ((body?.readableBytes() ?: 0) + bytes.readableBytes() > MAX_BODY_BYTES) {
             return failAndClose("the response body is longer than $MAX_BODY_BYTES bytes")
         }
-        val buffered = body ?: context.allocator.compositeBuffer(MAX_BODY_COMPONENTS).also { body = it }
-        buffered.addComponent(true, bytes.retain())
+        // A copy, since the small part of a read that belongs to the body would keep the whole read in memory.
+        val buffered = body ?: context.allocator.buffer(bytes.readableBytes()).also { body = it }
+        buffered.writeBytes(bytes)
+        memory.resize(buffered.capacity().toLong())
     }
 
     private fun checkIncompleteEvent(framing: EventStreamFraming) {
@@ -270,8 +282,9 @@
     private fun deliver(head: HttpResponse, withConnection: Boolean) {
         val status = head.status()
         val isFramed = hasOwnEnd() || !withConnection
-        val answer = BufferedResponse(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER, isFramed)
+        val answer = BufferedResponse(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER, memory, isFramed)
         body = null
+        isHandedOver = true
         end(if (status.code() >= FIRST_SERVER_ERROR) SendOutcome.FAILED else SendOutcome.ANSWERED)
         listener.responseReceived(this, answer)
     }
@@ -315,6 +328,7 @@
         framing?.release()
         body?.release()
         body = null
+        if (!isHandedOver) memory.release()
         upstream.ended(this, outcome)
     }
 
@@ -324,7 +338,6 @@
         val SUCCESS = 200..299
         const val FIRST_ERROR = 400
         const val FIRST_SERVER_ERROR = 500
-        const val MAX_BODY_COMPONENTS = 4_096
 
         /**
          * Time after the first event after which a crash is no longer attributed to the request, in milliseconds; an engine that
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -1,10 +1,12 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
+import buckthornbay.core.admission.BufferBudget
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelException
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -37,6 +39,7 @@
     private val pending = ArrayDeque<HttpObject>()
     private var head: HttpRequest? = null
     private var body: ByteBuf? = null
+    private var bodyMemory: BufferBudget.Share? = null
     private var work: CallerWork? = null
     private var keepAlive = true
     private var closing = false
@@ -141,13 +144,14 @@
     /**
      * Sends a complete response. [headers] must not contain connection-specific headers.
      *
-     * If the response [isFramed], it gets a length; otherwise it ends with the connection, as it came.
+     * If the response [isFramed], it gets a length; otherwise it ends with the connection, as it came. Returns the future of the
+     * write.
      */
-    fun answer(status: HttpResponseStatus, headers: HttpHeaders?, body: ByteBuf, isFramed: Boolean = true) {
+    fun answer(status: HttpResponseStatus, headers: HttpHeaders?, body: ByteBuf, isFramed: Boolean = true): ChannelFuture {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
         headers?.let { response.headers().add(it) }
         if (isFramed) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes()) else keepAlive = false
-        finish(response)
+        return finish(response)
     }
 
     /** Sends an error response of the router itself. */
@@ -192,9 +196,9 @@
         responseWritten(written)
     }
 
-    private fun finish(response: DefaultFullHttpResponse) {
+    private fun finish(response: DefaultFullHttpResponse): ChannelFuture {
         setConnectionHeader(response.headers())
-        responseWritten(context.writeAndFlush(response))
+        return context.writeAndFlush(response).also(::responseWritten)
     }
 
     private fun setConnectionHeader(headers: HttpHeaders) {
@@ -202,7 +206,7 @@
         if (!keepAlive) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
-    private fun responseWritten(written: io.netty.channel.ChannelFuture) {
+    private fun responseWritten(written: ChannelFuture) {
         work = null
         head = null
         activeAtMillis = clock.nowMillis()
@@ -253,7 +257,9 @@
             )
         }
         buffer.writeBytes(bytes)
-        if (content is LastHttpContent) dispatch()
+        val memory = bodyMemory ?: handler.buffers.share(::evictBody).also { bodyMemory = it }
+        memory.resize(buffer.capacity().toLong())
+        if (content is LastHttpContent && body != null) dispatch()
     }
 
     /**
@@ -262,9 +268,17 @@
      */
     private fun dispatch() {
         val request = checkNotNull(head) { "a request body arrived without a request head" }
-        val received = ReceivedRequest(request.method().name(), request.uri(), request.headers(), body ?: Unpooled.EMPTY_BUFFER)
+        val received = ReceivedRequest(
+            request.method().name(),
+            request.uri(),
+            request.headers(),
+            body ?: Unpooled.EMPTY_BUFFER,
+            bodyMemory,
+        )
         body = null
+        bodyMemory = null
         val requestDispatch = RequestDispatch(received)
+        received.memory?.handOver(requestDispatch::evicted)
         work = requestDispatch
         context.executor().execute(requestDispatch)
     }
@@ -278,27 +292,42 @@
             if (work === this) work = startedWork
         }
 
+        fun evicted() {
+            if (work !== this) return
+            work = null
+            request.release()
+            evictBody()
+        }
+
         override fun callerDisconnected() {
-            request.body.release()
+            request.release()
         }
     }
 
+    private fun evictBody() = reject(
+        HttpResponseStatus.SERVICE_UNAVAILABLE,
+        "not run: all connections together buffer too much, this one the most",
+        OVERLOAD_RETRY_S,
+    )
+
     private fun rejectMalformed(cause: Throwable) {
         val problem = malformedProblem(cause)
         reject(problem.status, problem.message)
     }
 
-    private fun reject(status: HttpResponseStatus, message: String) {
+    private fun reject(status: HttpResponseStatus, message: String, retryAfterSeconds: String? = null) {
         if (closing) return
         handler.invalidRequest(status.code(), message)
         keepAlive = false
         releaseAll()
-        fail(status, message)
+        fail(status, message, retryAfterSeconds)
     }
 
     private fun releaseAll() {
         body?.release()
         body = null
+        bodyMemory?.release()
+        bodyMemory = null
         pending.forEach { ReferenceCountUtil.release(it) }
         pending.clear()
     }
@@ -315,6 +344,9 @@
         const val MAX_PENDING = 64
         const val INITIAL_BODY_CAPACITY = 256
 
+        /** Retry-After of a host that buffers too much, in seconds; about the time that a long body takes. */
+        const val OVERLOAD_RETRY_S = "0.5"
+
         /**
          * Time after a connection was accepted or used in which its caller may have sent a request that has not arrived yet, in
          * milliseconds: some round trips between regions.
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -1,5 +1,6 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.admission.BufferBudget
 import buckthornbay.core.admission.RequestFingerprint
 import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.routing.RouteMatch
@@ -12,6 +13,7 @@
 internal class CallerHandler(private val context: GatewayContext, private val routes: () -> RouteTable?) : RequestHandler {
     private val names = context.callerInterface.headers
 
+    override val buffers: BufferBudget get() = context.buffers
     override val connections = LinkedHashSet<CallerConnection>()
 
     /** Whether the host is draining: responses ask callers to close the connection. */
@@ -128,7 +130,7 @@
         message: String,
         retryAfterSeconds: String? = null,
     ): CallerWork {
-        request.body.release()
+        request.release()
         context.log.rejected(id, status.code(), message)
         caller.fail(status, message, retryAfterSeconds)
         return CallerWork.Done
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -37,11 +37,16 @@
     fun forward(answer: BufferedResponse) {
         val status = answer.status
         if (!terms.route.repeatable && status.code() in NOT_RUN_STATUSES) {
-            answer.body.release()
+            answer.release()
             caller.fail(HttpResponseStatus.BAD_GATEWAY, "the upstream answered ${status.code()} without saying that nothing ran")
             return
         }
+        answer.memory.handOver {
+            context.log.warning("event=response_dropped id=${terms.id} reason=\"the caller reads too slowly\"")
+            caller.abort()
+        }
         caller.answer(status, responseHeadersToForward(answer.headers), answer.body, answer.isFramed)
+            .addListener { answer.memory.release() }
     }
 
     private fun refusalInputs(nowMillis: Long, retryAfterSeconds: String) = RefusalInputs(
--- a/router/src/main/kotlin/buckthornbay/router/gateway/EventStreamFraming.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/EventStreamFraming.kt
@@ -18,6 +18,9 @@
     /** Number of buffered bytes of an incomplete event. */
     val incompleteBytes: Int get() = buffer?.readableBytes() ?: 0
 
+    /** Number of bytes of memory that the buffer takes. */
+    val bufferedBytes: Int get() = buffer?.capacity() ?: 0
+
     /** Appends [bytes] to the buffer and calls [onEvent] for each event that they complete, until it calls [release]. */
     fun feed(bytes: ByteBuf, onEvent: (StreamEvent) -> Unit) {
         val all = buffer ?: allocator.buffer(bytes.readableBytes().coerceAtLeast(INITIAL_CAPACITY)).also { buffer = it }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -2,12 +2,14 @@
 
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.Admission
+import buckthornbay.core.admission.BufferBudget
 import buckthornbay.core.admission.Dispatcher
 import buckthornbay.core.admission.WorkspaceAccounts
 import buckthornbay.core.wire.CallerInterface
 import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.UnpooledByteBufAllocator
 import io.netty.channel.EventLoop
+import io.netty.util.internal.PlatformDependent
 
 /** The components that requests use to reach upstreams. */
 internal class UpstreamAccess(
@@ -33,6 +35,9 @@
 ) {
     val allocator: ByteBufAllocator = UnpooledByteBufAllocator.DEFAULT
 
+    /** The memory for bodies and incomplete events of all connections together. */
+    val buffers = BufferBudget(PlatformDependent.maxDirectMemory() / BUFFER_PART_OF_MEMORY)
+
     lateinit var dispatcher: Dispatcher
 
     /** Requests in progress. */
@@ -41,4 +46,12 @@
     fun requestEnded(request: ProxiedRequest) {
         requests.remove(request)
     }
+
+    private companion object {
+        /**
+         * Part of the memory for buffers that bodies and events may take together, as a divisor; the rest is for reads and writes
+         * in progress.
+         */
+        const val BUFFER_PART_OF_MEMORY = 4
+    }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -1,9 +1,12 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
+import buckthornbay.core.admission.BufferBudget
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
 import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.FunctionCounter
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MultiGauge
 import io.micrometer.core.instrument.Tags
 import io.micrometer.core.instrument.TimeGauge
@@ -36,6 +39,14 @@
             .tag("collection", collection).strongReference(true).register(registry)
     }
 
+    /** Shows the bytes that [budget] counts, and its evictions. */
+    fun buffers(budget: BufferBudget) {
+        Gauge.builder("buckthornbay.buffered", budget) {
+            it.usedBytes.toDouble()
+        }.baseUnit("bytes").strongReference(true).register(registry)
+        FunctionCounter.builder("buckthornbay.buffer.evictions", budget) { it.evictions.toDouble() }.register(registry)
+    }
+
     fun connectionOpened() = connections.increment()
 
     /** Records that an upstream crashed while it processed requests of this host. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -156,7 +156,7 @@
         metrics,
     )
     private val callers = CallerHandler(context) { fleetView.routes }
-    private val hostHandler = HostHandler(deployment.callerInterface, ::answerHostRequest)
+    private val hostHandler = HostHandler(deployment.callerInterface, context.buffers, ::answerHostRequest)
     private val listeners = Listeners(group, clock)
     private val stopped = CompletableDeferred<Unit>()
 
@@ -170,6 +170,7 @@
             clock,
             { hostOrder.count },
         )
+        metrics.buffers(context.buffers)
         storeKnowledge.run { mapOf("configuration" to configuration, "registrations" to registrations) }
             .forEach { (name, collection) -> metrics.storeKnowledge(name) { collection.ageMillis(clock.nowMillis()) } }
         crashWatch.onCrash = {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/HostHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HostHandler.kt
@@ -1,5 +1,6 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.admission.BufferBudget
 import buckthornbay.core.wire.AddressQuery
 import buckthornbay.core.wire.CallerInterface
 import buckthornbay.protocol.Member
@@ -18,8 +19,11 @@
 )
 
 /** The handler of requests to the host itself, such as readiness and metrics, which are answered immediately. */
-internal class HostHandler(private val callerInterface: CallerInterface, private val answer: (ReceivedRequest) -> HostAnswer) :
-    RequestHandler {
+internal class HostHandler(
+    private val callerInterface: CallerInterface,
+    override val buffers: BufferBudget,
+    private val answer: (ReceivedRequest) -> HostAnswer,
+) : RequestHandler {
     override val limits = ReadLimits(maxBodyBytes = 8_388_608, headerTimeoutMillis = 3_000, idleTimeoutMillis = 15_000)
     override val closing = false
     override val connections = LinkedHashSet<CallerConnection>()
@@ -28,7 +32,7 @@
 
     override fun handle(request: ReceivedRequest, caller: CallerConnection): CallerWork {
         val answer = answer(request)
-        request.body.release()
+        request.release()
         val headers: HttpHeaders = uncheckedHeaders().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
         answer.headers.forEach { (name, value) -> headers.set(name, value) }
         caller.answer(answer.status, headers, Unpooled.copiedBuffer(answer.body, Charsets.UTF_8))
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -86,6 +86,7 @@
 
     /** Starts the deadline timer and queues the request. */
     fun start() {
+        received.memory?.handOver(::endEvicted)
         val leftMillis = terms.deadlineAtMillis - context.clock.nowMillis()
         deadlineTimer = context.eventLoop.schedule(::deadlineReached, leftMillis.coerceAtLeast(0), TimeUnit.MILLISECONDS)
         val verdict = terms.demand?.let(context.access.crashWatch::verdict) ?: QuarantineVerdict.Accepted
@@ -101,11 +102,29 @@
     fun endIfQuarantined() {
         if (ended || responseStarted || isTrial) return
         val part = terms.demand?.let(context.access.crashWatch::quarantinedPart) ?: return
-        val sending = attempt ?: return refuseQuarantined(part, retryAfterMillis = null)
-        sending.cancel()
+        if (attempt == null) refuseQuarantined(part, retryAfterMillis = null) else endSending("$CRASHING_PART $part")
+    }
+
+    /** Ends the request if its body is the largest that this host holds while it holds too much. */
+    private fun endEvicted() {
+        val reason = "all connections together buffer too much, this one the most"
+        when {
+            ended -> Unit
+            lifecycle.state == RequestState.STREAMING -> abortStream(reason)
+            attempt != null -> endSending(reason)
+            else -> {
+                context.dispatcher.withdraw(this)
+                refuse(reason)
+            }
+        }
+    }
+
+    /** Cancels the attempt in progress, whose outcome then is unknown, and ends the request. */
+    private fun endSending(reason: String) {
+        attempt?.cancel()
         attempt = null
         lifecycle.failed(FailureKind.CALLER_LEFT)
-        endWith(RequestEnd.FAILED, "$CRASHING_PART $part")
+        endWith(RequestEnd.FAILED, reason)
     }
 
     private fun refuseQuarantined(part: String, retryAfterMillis: Long?) {
@@ -221,7 +240,7 @@
             return
         }
         if (lifecycle.state == RequestState.STREAMING) {
-            answer.body.release()
+            answer.release()
             proceed(
                 lifecycle.failed(FailureKind.BROKEN_IN_ANSWER),
                 "the upstream answered ${answer.status.code()} to a resumption",
@@ -231,7 +250,7 @@
         lifecycle.responseStarted()
         lifecycle.completed()
         finish("answered")
-        if (callerConnectionClosed) answer.body.release() else reply.forward(answer)
+        if (callerConnectionClosed) answer.release() else reply.forward(answer)
     }
 
     override fun failed(attempt: Attempt, kind: FailureKind, reason: String) {
@@ -243,8 +262,12 @@
     }
 
     private fun keepFailedResponse(answer: BufferedResponse) {
-        failedResponse?.body?.release()
+        failedResponse?.release()
         failedResponse = answer
+        answer.memory.handOver {
+            failedResponse?.body?.release()
+            failedResponse = null
+        }
     }
 
     private fun proceed(next: FailureAction, reason: String) {
@@ -305,7 +328,7 @@
         failedResponse = null
         finish(reason)
         when {
-            callerConnectionClosed -> failure?.body?.release()
+            callerConnectionClosed -> failure?.release()
             failure != null -> reply.forward(failure)
             else -> sendFailure()
         }
@@ -325,7 +348,7 @@
         attempt = null
         deadlineTimer?.cancel(false)
         queueTimer?.cancel(false)
-        received.body.release()
+        received.release()
         context.requestEnded(this)
         context.log.ended(
             terms,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/RequestHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/RequestHandler.kt
@@ -1,12 +1,28 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.admission.BufferBudget
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
 
-/** A request that was read completely. Its handler must release [body]. */
-internal class ReceivedRequest(val method: String, val target: String, val headers: HttpHeaders, val body: ByteBuf) {
+/**
+ * A request that was read completely. Its handler must [release] it.
+ *
+ * @property memory what the body holds of the memory for buffers; null if there is no body.
+ */
+internal class ReceivedRequest(
+    val method: String,
+    val target: String,
+    val headers: HttpHeaders,
+    val body: ByteBuf,
+    val memory: BufferBudget.Share?,
+) {
     /** The request target without its query. */
     val path: String get() = target.substringBefore('?')
+
+    fun release() {
+        body.release()
+        memory?.release()
+    }
 }
 
 /** A handler of the requests of a [CallerConnection]. */
@@ -14,6 +30,9 @@
     /** Current limits on requests. */
     val limits: ReadLimits
 
+    /** The memory for bodies of all connections together. */
+    val buffers: BufferBudget
+
     /** Whether responses must ask callers to close the connection. */
     val closing: Boolean
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/WarmUpRun.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/WarmUpRun.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import arrow.fx.coroutines.resourceScope
+import buckthornbay.core.admission.BufferBudget
 import buckthornbay.core.wire.WarmUpScript
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.RegionId
@@ -31,7 +32,7 @@
     suspend fun run(rounds: Int): Int = resourceScope {
         val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
         val listeners = Listeners(group, SystemClock)
-        listeners.listen(standInAddress, HostHandler(deployment.callerInterface, ::answer))
+        listeners.listen(standInAddress, HostHandler(deployment.callerInterface, BufferBudget(MAX_BUFFERED_BYTES), ::answer))
         gatewayProcess(settings(), deployment)
         val transport = NettyTransport(ConnectionPool(group.next(), SystemClock, PoolSettings()))
         val answered = withContext(group.next().asCoroutineDispatcher()) { sendRequests(transport, rounds) }
@@ -78,6 +79,9 @@
 
     private companion object {
         const val PORT_COUNT = 5
+
+        /** Bound of the bodies that the stand-in receives, in bytes. */
+        const val MAX_BUFFERED_BYTES = 1_048_576L
         const val TIMEOUT_MILLIS = 1_000L
     }
 }
