Answer the requests that are left when a stopping host's grace ends

Cause: a stopping host took requests for 3 s whatever their time limit, and closed all connections at the end.

Now a request that can't be repeated and may outlast the grace is turned away as not run, and before the process ends each request left gets a true answer: 503 while it is queued, 502 while its outcome is unknown; a stream is broken off.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -22,6 +22,9 @@
     /** Whether new requests are rejected because the host shuts down. */
     var refusing = false
 
+    /** Time at which the host ends the requests that are then in progress, in milliseconds; null while it doesn't shut down. */
+    var endsAtMillis: Long? = null
+
     override val limits: ReadLimits
         get() {
             val limits = routes()?.configuration?.limits ?: return DEFAULT_LIMITS
@@ -78,6 +81,9 @@
             return reject(request, caller, id, BAD_REQUEST, "${names.remainingMillis} must be a number of milliseconds")
         }
         val terms = termsOf(request, id, service, match, remainingMillis ?: match.route.timeoutMillis)
+        if (isCutOffByShutdown(terms)) {
+            return reject(request, caller, id, UNAVAILABLE, "not run: this host is shutting down", SHUTDOWN_RETRY_S)
+        }
         context.metrics.recordAskedTokens(terms)
         val proxied = ProxiedRequest(context, terms, request, caller)
         context.requests += proxied
@@ -85,6 +91,10 @@
         return proxied
     }
 
+    /** Returns whether the shutdown may come before the response to a request that can't be repeated elsewhere then. */
+    private fun isCutOffByShutdown(terms: RequestTerms): Boolean =
+        !terms.route.repeatable && endsAtMillis?.let { terms.deadlineAtMillis > it } == true
+
     private fun termsOf(
         request: ReceivedRequest,
         id: String,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -234,20 +234,29 @@
         val signalledAtMillis = clock.nowMillis()
         val graceMillis = (settings.bounds.graceSeconds * MILLIS_PER_SECOND).toLong()
         log.stateChange("event=stopping host=${settings.host} requests=${context.requests.size}")
+        val endsAtMillis = signalledAtMillis + graceMillis - STOP_MARGIN_MILLIS
         callers.closing = true
+        callers.endsAtMillis = endsAtMillis
         peers.announceLeaving()
         delay(LINGER_MILLIS.milliseconds)
         callers.refusing = true
         listeners.close()
-        while (clock.nowMillis() - signalledAtMillis < graceMillis - STOP_MARGIN_MILLIS) {
+        closeIdleConnectionsUntil(endsAtMillis)
+        log.stateChange("event=drained host=${settings.host} requests_left=${context.requests.size}")
+        context.requests.toList().forEach { it.endForShutdown() }
+        closeIdleConnectionsUntil(endsAtMillis + LAST_ANSWERS_MILLIS)
+        delay(FLUSH_MILLIS.milliseconds)
+        stopped.complete(Unit)
+    }
+
+    /** Closes the connections without a request, as long as there are others; returns at [endsAtMillis] at the latest. */
+    private suspend fun closeIdleConnectionsUntil(endsAtMillis: Long) {
+        while (clock.nowMillis() < endsAtMillis) {
             val nowMillis = clock.nowMillis()
             callers.connections.toList().forEach { it.closeIfIdle(nowMillis) }
             if (callers.connections.isEmpty()) break
             delay(DRAIN_POLL_MILLIS.milliseconds)
         }
-        log.stateChange("event=drained host=${settings.host} requests_left=${context.requests.size}")
-        delay(FLUSH_MILLIS.milliseconds)
-        stopped.complete(Unit)
     }
 
     /** Periodically closes overdue connections, expires registrations and moves attempts away from silent upstreams. */
@@ -347,6 +356,9 @@
         /** Part of the grace time, in milliseconds, that is reserved for the exit of the process before it is killed. */
         const val STOP_MARGIN_MILLIS = 500L
         const val DRAIN_POLL_MILLIS = 50L
+
+        /** Part of [STOP_MARGIN_MILLIS], in milliseconds, in which callers receive the answers to the requests ended last. */
+        const val LAST_ANSWERS_MILLIS = 150L
         const val FLUSH_MILLIS = 50L
 
         /** Timeout for closing all sockets at shutdown, in milliseconds; no request is in progress on them by then. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -105,17 +105,19 @@
         if (attempt == null) refuseQuarantined(part, retryAfterMillis = null) else endSending("$CRASHING_PART $part")
     }
 
-    /** Ends the request if its body is the largest that this host holds while it holds too much. */
-    private fun endEvicted() {
-        val reason = "all connections together buffer too much, this one the most"
-        when {
-            ended -> Unit
-            lifecycle.state == RequestState.STREAMING -> abortStream(reason)
-            attempt != null -> endSending(reason)
-            else -> {
-                context.dispatcher.withdraw(this)
-                refuse(reason)
-            }
+    /** Ends the request because the host shuts down. */
+    fun endForShutdown() = endEarly("this host is shutting down")
+
+    private fun endEvicted() = endEarly("all connections together buffer too much, this one the most")
+
+    /** Ends the request, whose caller gets an answer that is true of what has happened so far, or a broken-off stream. */
+    private fun endEarly(reason: String) = when {
+        ended -> Unit
+        lifecycle.state == RequestState.STREAMING -> abortStream(reason)
+        attempt != null -> endSending(reason)
+        else -> {
+            context.dispatcher.withdraw(this)
+            refuse(reason)
         }
     }
 
