Accept only events with an id as the continuation of a resumed stream

Callers saw (report of operators of a similar system; shown here by a test): the text of an error in the middle of their stream, which was then ended as complete.

Cause: a signed 200 without a type and a length counts as a stream, and an event without an id was always accepted as the next one, also after a resumption, where ids are checked for gaps.

Now such an event fails the attempt if the events of the stream had ids before; the stream is resumed elsewhere or broken off.

Evidence: ResumptionTest failed on at the row '200 without a type and a length' and passes now with 16 faulty answers, each once and twice in a row.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/StreamProgress.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StreamProgress.kt
@@ -28,12 +28,13 @@
     }
 
     /**
-     * Classifies the event with [id] and advances the position. Events without a numeric id are always [Verdict.NEXT].
+     * Classifies the event with [id] and advances the position. Events without a numeric id are [Verdict.NEXT].
      *
-     * After a resumption, a gap between ids means a missing event unless the ids of this stream had gaps before.
+     * After a resumption, a gap between ids means a missing event unless the ids of this stream had gaps before. An event without
+     * an id can't be known to follow then, and may be something else than the rest of the stream, such as the text of an error.
      */
     fun accept(id: String?): Verdict {
-        val number = id?.toLongOrNull() ?: return Verdict.NEXT
+        val number = id?.toLongOrNull() ?: return if (resuming && lastNumber != null) Verdict.MISSED else Verdict.NEXT
         val last = lastNumber
         if (last != null && number <= last) return Verdict.SEEN
         val follows = last == null || number == last + 1
