--- a/core/src/test/kotlin/buckthornbay/core/membership/LargeFleetStoreTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/membership/LargeFleetStoreTest.kt
@@ -34,33 +34,33 @@
         assertEquals(emptyList(), late.take(5), "${late.size} late changes")
     }
 
-    private fun SimulatedStoreFleet.turnAway(turnedAway: Collection<Host>, fault: StoreFault) =
-        turnedAway.forEach { host -> host.fault = { fault } }
+    private fun SimulatedStoreFleet.fail(failed: Collection<Host>, fault: StoreFault) =
+        failed.forEach { host -> host.fault = { fault } }
 
     @ParameterizedTest
-    @CsvSource(textBlock = TURNED_AWAY)
-    fun theStoreTurnsTheWatchersAway(hostCount: Int, lagMillis: Long, fault: StoreFault) =
-        play(hostCount, lagMillis) { turnAway(byRank.take(4), fault) }.assertNoLateChange()
+    @CsvSource(textBlock = FAILED_CALLS)
+    fun theStoreFailsTheWatchers(hostCount: Int, lagMillis: Long, fault: StoreFault) =
+        play(hostCount, lagMillis) { fail(byRank.take(4), fault) }.assertNoLateChange()
 
     @ParameterizedTest
-    @CsvSource(textBlock = TURNED_AWAY)
-    fun theStoreTurnsARandomThirdAway(hostCount: Int, lagMillis: Long, fault: StoreFault) =
-        play(hostCount, lagMillis) { turnAway(hosts.shuffled(it).take(hostCount / 3), fault) }.assertNoLateChange()
+    @CsvSource(textBlock = FAILED_CALLS)
+    fun theStoreFailsARandomThird(hostCount: Int, lagMillis: Long, fault: StoreFault) =
+        play(hostCount, lagMillis) { fail(hosts.shuffled(it).take(hostCount / 3), fault) }.assertNoLateChange()
 
     @ParameterizedTest
     @CsvSource("13, 4000, REJECTED", "13, 2500, SILENT", "72, 4000, SILENT", "95, 4000, REJECTED", "390, 4000, SILENT")
-    fun theStoreTurnsAllButOneAway(hostCount: Int, lagMillis: Long, fault: StoreFault) =
-        play(hostCount, lagMillis) { turnAway(hosts.shuffled(it).drop(1), fault) }.assertNoLateChange()
+    fun theStoreFailsAllButOne(hostCount: Int, lagMillis: Long, fault: StoreFault) =
+        play(hostCount, lagMillis) { fail(hosts.shuffled(it).drop(1), fault) }.assertNoLateChange()
 
-    /** The hosts that the store turns away change every second: four at a time, in the order in which hosts call it. */
+    /** The hosts that the store rejects change every second: four at a time, in the order in which hosts call it. */
     @ParameterizedTest
     @CsvSource("13, 2500", "13, 4000", "72, 4000", "95, 2500", "390, 4000")
-    fun theStoreTurnsTheCallersAwayInTurn(hostCount: Int, lagMillis: Long) = play(hostCount, lagMillis) {
+    fun theStoreRejectsTheCallersInTurn(hostCount: Int, lagMillis: Long) = play(hostCount, lagMillis) {
         var turn = 0
         every(1_000) {
             val isOver = nowMillis >= FAULT_END_MILLIS
-            val turnedAway = byRank.drop(4 * (turn++ % 3)).take(4)
-            hosts.forEach { host -> host.fault = { if (!isOver && host in turnedAway) StoreFault.REJECTED else StoreFault.NONE } }
+            val rejected = byRank.drop(4 * (turn++ % 3)).take(4)
+            hosts.forEach { host -> host.fault = { if (!isOver && host in rejected) StoreFault.REJECTED else StoreFault.NONE } }
         }
     }.assertNoLateChange()
 
@@ -86,12 +86,12 @@
         byRank.take(4).forEach { host -> host.fault = { if (it == failing) StoreFault.SILENT else StoreFault.NONE } }
     }.assertNoLateChange()
 
-    /** A slow store serves those that it doesn't turn away. */
+    /** A slow store serves those that it does not reject. */
     @ParameterizedTest
     @CsvSource("13, 2500", "13, 4000", "72, 4000", "95, 4000", "390, 4000")
-    fun theStoreIsSlowAndTurnsTheWatchersAway(hostCount: Int, lagMillis: Long) = play(hostCount, lagMillis) {
+    fun theStoreIsSlowAndRejectsTheWatchers(hostCount: Int, lagMillis: Long) = play(hostCount, lagMillis) {
         hosts.forEach { it.responseMillis = 80 }
-        turnAway(byRank.take(4), StoreFault.REJECTED)
+        fail(byRank.take(4), StoreFault.REJECTED)
     }.assertNoLateChange()
 
     /** Four hosts with waits of four and two seconds made three calls a second. */
@@ -106,14 +106,14 @@
         assertTrue(callsPerSecond <= 3.0, "$callsPerSecond calls per second")
     }
 
-    /** No more than an eighth of a fleet calls the store while a few watchers are turned away, so that it isn't overloaded. */
+    /** No more than an eighth of a fleet calls the store while the watchers get no response, so that it isn't overloaded. */
     @ParameterizedTest
     @CsvSource("95, 4000", "390, 4000")
     fun fewHostsTakeOverFromWatchers(hostCount: Int, lagMillis: Long) {
         val fleet = SimulatedStoreFleet(hostCount, lagMillis, SEED)
         fleet.runUntil(WARM_UP_MILLIS)
         val before = fleet.calls
-        fleet.turnAway(fleet.byRank.take(3), StoreFault.SILENT)
+        fleet.fail(fleet.byRank.take(3), StoreFault.SILENT)
         fleet.runUntil(WARM_UP_MILLIS + CALM_MILLIS)
         val callsPerSecond = (fleet.calls - before) * 1_000.0 / CALM_MILLIS
         assertTrue(callsPerSecond <= hostCount / 8.0, "$callsPerSecond calls per second")
@@ -123,7 +123,7 @@
         const val SEED = 1L
 
         /** Hosts, the allowed lag in milliseconds, and what the store does with calls. */
-        const val TURNED_AWAY = """
+        const val FAILED_CALLS = """
             13, 2500, REJECTED
             13, 4000, SILENT
             72, 2500, SILENT
