Release the error response kept for a caller when the request ends

Cause: the error response of an attempt is kept for the caller in case no later attempt is answered; only the end without an answer released it. Now the one end of a request releases what is still kept. An empty body takes no buffer any more.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -248,18 +248,24 @@
     }
 
     private fun processBody(content: HttpContent) {
-        val bytes = content.content()
+        val isAccepted = !content.content().isReadable || append(content.content())
+        if (isAccepted && content is LastHttpContent) dispatch()
+    }
+
+    /** Appends [bytes] to the body; returns false if the request was rejected because of its size. */
+    private fun append(bytes: ByteBuf): Boolean {
         val buffer = body ?: context.alloc().buffer(maxOf(bytes.readableBytes(), INITIAL_BODY_CAPACITY)).also { body = it }
         if (buffer.readableBytes() + bytes.readableBytes() > handler.limits.maxBodyBytes) {
-            return reject(
+            reject(
                 HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
                 "the body may have ${handler.limits.maxBodyBytes} bytes at most",
             )
+            return false
         }
         buffer.writeBytes(bytes)
         val memory = bodyMemory ?: handler.buffers.share(::evictBody).also { bodyMemory = it }
         memory.resize(buffer.capacity().toLong())
-        if (content is LastHttpContent && body != null) dispatch()
+        return body != null
     }
 
     /**
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -351,6 +351,8 @@
         deadlineTimer?.cancel(false)
         queueTimer?.cancel(false)
         received.release()
+        failedResponse?.release()
+        failedResponse = null
         context.requestEnded(this)
         context.log.ended(
             terms,
