--- a/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
@@ -61,6 +61,23 @@
     /** Returns the upstream [id], even if it is draining, or null if it is unknown. */
     public fun find(id: UpstreamId): UpstreamEntry? = registrations[id]?.entry
 
+    /**
+     * Returns whether [upstream] is shutting down: it or its registration says so, or its registration is gone.
+     *
+     * A registration also goes a few heartbeats after a crash, when no response of the upstream is in progress any more.
+     */
+    public fun isLeaving(upstream: UpstreamEntry): Boolean {
+        val registration = registrations[upstream.id]
+        return registration == null || registration.graceEndsAtMillis != null || registration.entry.draining ||
+            notices.isLeaving(upstream)
+    }
+
+    /** Returns whether a later incarnation of [upstream] is registered. */
+    public fun hasRestarted(upstream: UpstreamEntry): Boolean {
+        val startedAtMillis = find(upstream.id)?.startedAtMillis ?: return false
+        return upstream.startedAtMillis != null && startedAtMillis > upstream.startedAtMillis
+    }
+
     /** Returns all registrations, including those in their grace period. */
     public fun all(): List<UpstreamEntry> = registrations.values.map { it.entry }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -4,7 +4,10 @@
 import buckthornbay.core.load.LoadReport
 import buckthornbay.core.load.SendOutcome
 import buckthornbay.core.load.TokenDemand
+import buckthornbay.core.request.ConnectionEnd
 import buckthornbay.core.request.FailureKind
+import buckthornbay.core.request.Reachability
+import buckthornbay.core.request.ResponseEnd
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.FullHttpRequest
@@ -13,6 +16,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
+import java.util.concurrent.TimeUnit
 
 /**
  * A complete response that is not an event stream. The receiver must [release] it, or its [body] and its [memory].
@@ -192,6 +196,7 @@
     }
 
     override fun broken(reason: String) {
+        if (!ended && response != null) upstream.recordBreak()
         if (!ended && !proven) {
             listener.demand?.let { context.access.crashWatch.connectionLost(upstream.entry, it, sentAtMillis) }
         }
@@ -238,20 +243,39 @@
         listener.streamEnded(this, trailingLines)
     }
 
-    /**
-     * Calls [onComplete], unless only the end of the connection marks that of the response and the upstream accepts no new one:
-     * it has crashed, so that the response is probably cut off.
-     */
+    /** Calls [onComplete], unless only the end of the connection marks that of the response and [ConnectionEnd] tells that it broke off. */
     private fun verifyEnd(withConnection: Boolean, onComplete: () -> Unit) {
         if (!withConnection || hasOwnEnd()) return onComplete()
         incompleteEventSinceMillis = null
-        context.access.probe.check(upstream.entry) { reachable ->
-            when {
-                ended -> Unit
-                reachable -> onComplete()
-                else -> broken("the connection ended, and the upstream accepts no new one")
+        val endedAtMillis = context.clock.nowMillis()
+        var decided = false
+        val decide = { reachability: Reachability ->
+            if (!ended && !decided) {
+                decided = true
+                decideEnd(endedAtMillis, reachability, onComplete)
             }
         }
+        context.access.probe.check(upstream.entry, decide)
+        context.eventLoop.schedule({ decide(Reachability.UNKNOWN) }, ConnectionEnd.MAX_CHECK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun decideEnd(endedAtMillis: Long, reachability: Reachability, onComplete: () -> Unit) {
+        val registry = context.access.registry
+        val connectionEnd = ConnectionEnd(
+            endedAtMillis,
+            reachability,
+            context.clock.nowMillis(),
+            registry.isLeaving(upstream.entry),
+            registry.hasRestarted(upstream.entry),
+            upstream.breaksAtMillis,
+        )
+        val decision = connectionEnd.decide()
+        context.log.responseEnd(id, upstream.entry.id, connectionEnd, decision)
+        context.metrics.responseEnded(decision.end)
+        when (decision.end) {
+            ResponseEnd.BROKEN_OFF -> broken(decision.reason)
+            ResponseEnd.UNMARKED -> onComplete()
+        }
     }
 
     private fun completeBuffered(withConnection: Boolean) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ConnectionPool.kt
@@ -1,24 +1,27 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
+import buckthornbay.core.request.Reachability
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFactory
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import jdk.net.ExtendedSocketOptions
+import java.net.ConnectException
 
 /** Result of [ConnectionPool.acquire]. */
 internal sealed interface ConnectResult {
     /** An open connection, either [reused] from the pool or new. */
     data class Open(val connection: HttpConnection, val reused: Boolean) : ConnectResult
 
-    /** The connection could not be established. */
-    data class Failed(val reason: String) : ConnectResult
+    /** The connection could not be established; [isRefused] tells that nothing listens at the address. */
+    data class Failed(val reason: String, val isRefused: Boolean = false) : ConnectResult
 }
 
 /** Which pooled connections a request may use. */
@@ -63,9 +66,14 @@
     }
 
     /** Opens a connection to [address], which is pooled, and passes to [onResult] whether it was accepted. */
-    fun checkReachable(address: String, onResult: (Boolean) -> Unit) = connect(address) { result ->
-        if (result is ConnectResult.Open) result.connection.release()
-        onResult(result is ConnectResult.Open)
+    fun checkReachable(address: String, onResult: (Reachability) -> Unit) = connect(address) { result ->
+        when (result) {
+            is ConnectResult.Open -> {
+                result.connection.release()
+                onResult(Reachability.ACCEPTING)
+            }
+            is ConnectResult.Failed -> onResult(if (result.isRefused) Reachability.REFUSING else Reachability.UNKNOWN)
+        }
     }
 
     /** Closes the connections that have been idle for too long. */
@@ -116,13 +124,18 @@
                 val result = if (future.isSuccess) {
                     ConnectResult.Open(connection, reused = false)
                 } else {
-                    ConnectResult.Failed(future.cause()?.message ?: "no connection to $address")
+                    failureOf(future.cause(), address)
                 }
                 deliver(result, onResult)
             },
         )
     }
 
+    private fun failureOf(cause: Throwable?, address: String) = ConnectResult.Failed(
+        cause?.message ?: "no connection to $address",
+        isRefused = cause is ConnectException && cause !is ConnectTimeoutException,
+    )
+
     /** Netty reports on a thread of its own that no channel could be created, for example for lack of file descriptors. */
     private fun deliver(result: ConnectResult, onResult: (ConnectResult) -> Unit) {
         if (eventLoop.inEventLoop()) onResult(result) else eventLoop.execute { onResult(result) }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -8,12 +8,13 @@
 import buckthornbay.core.quarantine.QuarantineVerdict
 import buckthornbay.core.quarantine.Suspect
 import buckthornbay.core.registry.UpstreamEntry
+import buckthornbay.core.request.Reachability
 
 /**
  * Recognizes crashes of upstreams and keeps the quarantine of the prompt parts that cause them.
  *
  * A lost connection alone is no sign of a crash: upstreams reset single connections, and idle connections time out. An upstream
- * has crashed if it accepts no new connection afterwards.
+ * has crashed if it refuses new connections afterwards.
  */
 internal class CrashWatch(
     private val quarantine: PromptQuarantine,
@@ -54,9 +55,9 @@
             return
         }
         suspects[upstream] = lost.toMutableList()
-        probe.check(upstream) { reachable ->
+        probe.check(upstream) { result ->
             val checked = suspects.remove(upstream).orEmpty()
-            if (!reachable) recordCrash(upstream, checked)
+            if (result == Reachability.REFUSING) recordCrash(upstream, checked)
         }
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -4,8 +4,10 @@
 import buckthornbay.core.admission.CapacityView
 import buckthornbay.core.load.Choice
 import buckthornbay.core.load.RateLimitChange
+import buckthornbay.core.request.ConnectionEnd
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
+import buckthornbay.core.request.ResponseEndDecision
 import buckthornbay.protocol.UpstreamId
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.Locale
@@ -65,6 +67,12 @@
         "event=late_answer_skipped id=$id upstream=$upstream answered_id=$answeredId"
     }
 
+    fun responseEnd(id: String, upstream: UpstreamId, end: ConnectionEnd, decision: ResponseEndDecision) = logRequestLine {
+        "event=response_end id=$id upstream=$upstream end=${decision.end} reachability=${end.reachability} " +
+            "checked_after_ms=${end.checkedAtMillis - end.endedAtMillis} leaving=${end.isLeaving} restarted=${end.hasRestarted} " +
+            "broken_together=${end.breaksTogether} reason=\"${decision.reason}\""
+    }
+
     fun rateLimit(change: RateLimitChange) = logRequestLine {
         "event=rate_limit_stated upstream=${change.upstream} limit_per_s=${change.perSecond}"
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -5,6 +5,7 @@
 import buckthornbay.core.admission.BufferBudget
 import buckthornbay.core.admission.Dispatcher
 import buckthornbay.core.admission.WorkspaceAccounts
+import buckthornbay.core.registry.UpstreamRegistry
 import buckthornbay.core.wire.CallerInterface
 import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.UnpooledByteBufAllocator
@@ -13,6 +14,7 @@
 
 /** The components that requests use to reach upstreams. */
 internal class UpstreamAccess(
+    val registry: UpstreamRegistry,
     val upstreams: UpstreamTable,
     val connections: ConnectionPool,
     val probe: UpstreamProbe,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -4,6 +4,7 @@
 import buckthornbay.core.admission.BufferBudget
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
+import buckthornbay.core.request.ResponseEnd
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
@@ -28,6 +29,10 @@
         registry.counter("buckthornbay.upstream.attempts.failed", "kind", kind.name.lowercase())
     }
 
+    private val unmarkedEnds = ResponseEnd.entries.associateWith { end ->
+        registry.counter("buckthornbay.upstream.responses.unmarked", "end", end.name.lowercase())
+    }
+
     private val crashes = registry.counter("buckthornbay.upstream.crashes")
     private val quarantinedParts = MultiGauge.builder("buckthornbay.quarantined.part.age").baseUnit("seconds").register(registry)
 
@@ -49,6 +54,9 @@
 
     fun connectionOpened() = connections.increment()
 
+    /** Records what the host made of a response that only the end of its connection ended. */
+    fun responseEnded(end: ResponseEnd) = unmarkedEnds.getValue(end).increment()
+
     /** Records that an upstream crashed while it processed requests of this host. */
     fun upstreamCrashed() = crashes.increment()
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -149,7 +149,7 @@
         clock,
         eventLoop,
         deployment.callerInterface,
-        UpstreamAccess(upstreams, connections, probe, retryBudgets, crashWatch, rateLimits, noticeWatch),
+        UpstreamAccess(registry, upstreams, connections, probe, retryBudgets, crashWatch, rateLimits, noticeWatch),
         Admission(AdmissionPolicy(random), shares, CallerRetryTracker()),
         accounts,
         log,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamProbe.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamProbe.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.registry.UpstreamEntry
+import buckthornbay.core.request.Reachability
 import io.netty.channel.EventLoop
 import java.util.concurrent.TimeUnit
 
@@ -11,10 +12,10 @@
  * of one upstream that fall together share a connection, which goes to the pool.
  */
 internal class UpstreamProbe(private val connections: ConnectionPool, private val eventLoop: EventLoop) {
-    private val waiting = HashMap<String, MutableList<(Boolean) -> Unit>>()
+    private val waiting = HashMap<String, MutableList<(Reachability) -> Unit>>()
 
-    /** Checks [upstream] after a short delay and passes to [onResult] whether it can be reached. */
-    fun check(upstream: UpstreamEntry, onResult: (Boolean) -> Unit) {
+    /** Checks [upstream] after a short delay and passes the result to [onResult]. */
+    fun check(upstream: UpstreamEntry, onResult: (Reachability) -> Unit) {
         val pending = waiting[upstream.address]
         if (pending != null) {
             pending += onResult
@@ -24,8 +25,8 @@
         eventLoop.schedule({ connect(upstream.address) }, CHECK_DELAY_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    private fun connect(address: String) = connections.checkReachable(address) { reachable ->
-        waiting.remove(address).orEmpty().forEach { it(reachable) }
+    private fun connect(address: String) = connections.checkReachable(address) { result ->
+        waiting.remove(address).orEmpty().forEach { it(result) }
     }
 
     private companion object {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
@@ -26,16 +26,32 @@
     /** Attempts in progress; those that may be retried are moved to other upstreams if this one goes silent. */
     val attempts = LinkedHashSet<Attempt>()
 
+    private val breaks = ArrayDeque<Long>()
+
+    /** Times at which the latest responses in progress broke off, in milliseconds, oldest first. */
+    val breaksAtMillis: List<Long> get() = breaks.toList()
+
     fun recordActivity() {
         lastActivityMillis = clock.nowMillis()
     }
 
+    /** Records that the connection of a response in progress was lost. */
+    fun recordBreak() {
+        breaks.addLast(clock.nowMillis())
+        if (breaks.size > MAX_BREAKS) breaks.removeFirst()
+    }
+
     fun ended(attempt: Attempt, outcome: SendOutcome) {
         attempts.remove(attempt)
         val nowMillis = clock.nowMillis()
         candidate.load.ended(nowMillis, attempt.id, outcome)
         candidate.reliability.record(nowMillis, outcome)
     }
+
+    private companion object {
+        /** Number of remembered breaks; a few at the same moment tell that the process has ended. */
+        const val MAX_BREAKS = 8
+    }
 }
 
 /** Upstreams by service with their [UpstreamState], kept in sync with the registry. */
