--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -54,8 +54,11 @@
     /** Called after all events of one read from the socket. */
     fun eventBatchComplete(attempt: Attempt)
 
-    /** Called when the upstream ended the stream regularly; [trailingLines] are blank lines after the last event, if any. */
-    fun streamEnded(attempt: Attempt, trailingLines: ByteBuf?)
+    /**
+     * Called when the upstream ended the stream regularly; [isFramed] as in [BufferedResponse]. [trailingLines] are blank lines
+     * after the last event, if any.
+     */
+    fun streamEnded(attempt: Attempt, trailingLines: ByteBuf?, isFramed: Boolean)
 
     /** Called when a response that is not an event stream arrived completely. */
     fun responseReceived(attempt: Attempt, answer: BufferedResponse)
@@ -240,7 +243,7 @@
         recordProof()
         val trailingLines = framing?.takeRest()
         end(SendOutcome.ANSWERED)
-        listener.streamEnded(this, trailingLines)
+        listener.streamEnded(this, trailingLines, hasOwnEnd())
     }
 
     /** Calls [onComplete], unless only the end of the connection marks that of the response and [ConnectionEnd] tells that it broke off. */
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -46,7 +46,8 @@
     private var streaming = false
 
     /** Whether only the end of the connection marks that of the response in progress. */
-    private var endsWithConnection = false
+    var endsWithConnection = false
+        private set
 
     /** Time of the last read or response, in milliseconds. */
     private var activeAtMillis = clock.nowMillis()
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -224,9 +224,10 @@
         route.longestPauseMillis?.let { attempt.upstream.candidate.load.gapObserved(nowMillis, pauseMillis, it) }
     }
 
-    override fun streamEnded(attempt: Attempt, trailingLines: ByteBuf?) {
+    override fun streamEnded(attempt: Attempt, trailingLines: ByteBuf?, isFramed: Boolean) {
         this.attempt = null
         trailingLines?.let(caller::writeChunk)
+        if (!isFramed && !caller.endsWithConnection) return abortStream("a resumption ended without marking its end")
         lifecycle.completed()
         finish("answered")
         caller.endStream()
