--- a/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
@@ -68,7 +68,9 @@
      */
     public fun isLeaving(upstream: UpstreamEntry): Boolean {
         val registration = registrations[upstream.id]
-        return registration == null || registration.graceEndsAtMillis != null || registration.entry.draining ||
+        return registration == null ||
+            registration.graceEndsAtMillis != null ||
+            registration.entry.draining ||
             notices.isLeaving(upstream)
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -246,7 +246,7 @@
         listener.streamEnded(this, trailingLines, hasOwnEnd())
     }
 
-    /** Calls [onComplete], unless only the end of the connection marks that of the response and [ConnectionEnd] tells that it broke off. */
+    /** Calls [onComplete], unless the response has no end but that of its connection, and [ConnectionEnd] says that it broke off. */
     private fun verifyEnd(withConnection: Boolean, onComplete: () -> Unit) {
         if (!withConnection || hasOwnEnd()) return onComplete()
         incompleteEventSinceMillis = null
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -69,8 +69,8 @@
 
     fun responseEnd(id: String, upstream: UpstreamId, end: ConnectionEnd, decision: ResponseEndDecision) = logRequestLine {
         "event=response_end id=$id upstream=$upstream end=${decision.end} reachability=${end.reachability} " +
-            "checked_after_ms=${end.checkedAtMillis - end.endedAtMillis} leaving=${end.isLeaving} restarted=${end.hasRestarted} " +
-            "broken_together=${end.breaksTogether} reason=\"${decision.reason}\""
+            "checked_after_ms=${end.checkedAtMillis - end.endedAtMillis} leaving=${end.isLeaving} " +
+            "restarted=${end.hasRestarted} broken_together=${end.breaksTogether} reason=\"${decision.reason}\""
     }
 
     fun rateLimit(change: RateLimitChange) = logRequestLine {
