--- a/router/src/main/kotlin/buckthornbay/router/PeerTransport.kt
+++ b/router/src/main/kotlin/buckthornbay/router/PeerTransport.kt
@@ -7,7 +7,6 @@
 import buckthornbay.protocol.PeerMessage
 import buckthornbay.protocol.VersionedState
 import buckthornbay.protocol.WireJson
-import io.ktor.client.HttpClient
 import io.ktor.client.plugins.timeout
 import io.ktor.client.request.bearerAuth
 import io.ktor.client.request.get
@@ -33,7 +32,7 @@
 internal class PeerTransport(
     private val settings: RouterSettings,
     private val incarnation: Long,
-    private val clients: PeerClients,
+    private val clients: HostClients,
     private val scope: CoroutineScope,
     private val loop: NodeLoop,
     private val metrics: RouterMetrics,
@@ -88,7 +87,7 @@
     }
 
     private fun newLink(url: String, host: HostId): PeerLink {
-        val link = PeerLink(url, settings.fleetKey, clients.unpooled, ::countBytes)
+        val link = PeerLink(url, settings.fleetKey, clients.peerStreams, ::countBytes)
         link.open(scope) { loop.post { node, now -> node.markUnreachable(now, host) } }
         return link
     }
@@ -140,6 +139,3 @@
         const val REQUEST_OVERHEAD_BYTES = 250
     }
 }
-
-/** The HTTP clients for peers: [pooled] for single requests, [unpooled] for long-lived streams. */
-internal class PeerClients(val pooled: HttpClient, val unpooled: HttpClient)
--- a/router/src/main/kotlin/buckthornbay/router/RouterProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/RouterProcess.kt
@@ -12,10 +12,6 @@
 import buckthornbay.store.KeyClaims
 import buckthornbay.store.SystemClock
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
-import io.ktor.client.engine.java.Java
-import io.ktor.client.plugins.HttpTimeout
 import io.ktor.server.application.install
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
@@ -50,22 +46,10 @@
         },
     )
     private val loop = NodeLoop(node, SystemClock)
-    private val pooled = HttpClient(Java) {
-        expectSuccess = false
-        engine { protocolVersion = java.net.http.HttpClient.Version.HTTP_1_1 }
-        install(HttpTimeout) { connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS }
-    }
-    private val unpooled = HttpClient(CIO) {
-        expectSuccess = false
-        engine {
-            requestTimeout = 0
-            maxConnectionsCount = MAX_CONNECTIONS
-        }
-        install(HttpTimeout) { connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS }
-    }
+    private val clients = HostClients()
     private val metrics = RouterMetrics()
-    private val transport = PeerTransport(settings, incarnation, PeerClients(pooled, unpooled), scope, loop, metrics, SystemClock)
-    private val platform = HttpObjectStore(pooled, settings.platformUrl)
+    private val transport = PeerTransport(settings, incarnation, clients, scope, loop, metrics, SystemClock)
+    private val platform = HttpObjectStore(clients.pooled, settings.platformUrl)
     private val watcher = StateWatcher(DesiredStateStore(platform), platform, loop, scope)
     private val chart: StateChart<HostState, HostEvent> = loadChart("host", HostState.entries, HostEvent.entries)
     private var state = chart.initial
@@ -78,7 +62,7 @@
     private val context = DriverContext(
         settings,
         loop,
-        UpstreamClient(pooled, unpooled),
+        UpstreamClient(clients),
         Explanations(settings.host, SystemClock),
         metrics,
         SystemClock,
@@ -121,8 +105,7 @@
         server.stop(STOP_GRACE_MILLIS, STOP_TIMEOUT_MILLIS)
         scope.cancel()
         loop.close()
-        pooled.close()
-        unpooled.close()
+        clients.close()
         log.info { "host ${settings.host} stopped" }
     }
 
@@ -155,9 +138,6 @@
     }
 
     private companion object {
-        const val CONNECT_TIMEOUT_MILLIS = 1_000L
-        const val MAX_CONNECTIONS = 10_000
-
         /** Delay before the first check for requests in progress, in milliseconds. */
         const val FIRST_DRAIN_POLL_MILLIS = 300L
         const val DRAIN_POLL_MILLIS = 50L
--- a/router/src/main/kotlin/buckthornbay/router/UpstreamClient.kt
+++ b/router/src/main/kotlin/buckthornbay/router/UpstreamClient.kt
@@ -31,10 +31,10 @@
  *
  * An unrepeatable request always uses a new connection of its own, which has never been idle.
  */
-internal class UpstreamClient(private val pooled: HttpClient, private val unpooled: HttpClient) {
+internal class UpstreamClient(private val clients: HostClients) {
     /** Starts sending [request] to [upstream]; the returned exchange receives the response head or the kind of failure. */
     fun open(scope: CoroutineScope, upstream: Upstream, request: CallerRequest): UpstreamExchange =
-        exchange(scope, if (request.unrepeatable) unpooled else pooled, upstream) {
+        exchange(scope, if (request.unrepeatable) clients.unpooled else clients.pooled, upstream) {
             method = request.method
             url(upstream.url + request.uri)
             copyHeaders(request.headers)
@@ -43,7 +43,7 @@
 
     /** Requests the rest of the stream [streamId] from [upstream], after the first [tokensReceived] tokens. */
     fun resume(scope: CoroutineScope, upstream: Upstream, streamId: String, tokensReceived: Int): UpstreamExchange =
-        exchange(scope, pooled, upstream) {
+        exchange(scope, clients.pooled, upstream) {
             method = HttpMethod.Get
             url("${upstream.url}/v1/streams/$streamId?after=$tokensReceived")
         }
