--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -145,17 +145,26 @@
     override fun head(response: HttpResponse): Boolean {
         upstream.recordActivity()
         val echoed = response.headers()[context.callerInterface.headers.attemptId]
-        if (echoed != null && echoed != id) {
+        if (echoed == id) {
+            begin(response)
+            return true
+        }
+        if (echoed != null) {
             context.log.lateAnswer(id, upstream.entry.id, echoed)
-            return false
+        } else {
+            // The upstream may have written it for an earlier request on this connection, also one that it rejected.
+            failAndClose("the answer ${response.status().code()} doesn't say to which request it belongs")
         }
+        return false
+    }
+
+    private fun begin(response: HttpResponse) {
         this.response = response
-        if (echoed != null && response.status().code() != MISDIRECTED_REQUEST) {
+        if (response.status().code() != MISDIRECTED_REQUEST) {
             context.access.rateLimits.responseStarted(upstream.entry, id, response.headers(), genuine = isFromUpstream(response))
             context.access.notices.responseStarted(upstream.entry, id, response)
         }
         if (expectsEventStream && isEventStream(response)) framing = EventStreamFraming(context.allocator)
-        return true
     }
 
     private fun isEventStream(response: HttpResponse): Boolean {
@@ -246,7 +255,7 @@
         listener.streamEnded(this, trailingLines, hasOwnEnd())
     }
 
-    /** Calls [onComplete], unless the response has no end but that of its connection, and [ConnectionEnd] says that it broke off. */
+    /** Calls [onComplete], unless only the end of the connection ends the response and [ConnectionEnd] says that it broke off. */
     private fun verifyEnd(withConnection: Boolean, onComplete: () -> Unit) {
         if (!withConnection || hasOwnEnd()) return onComplete()
         incompleteEventSinceMillis = null
@@ -288,9 +297,6 @@
         val names = context.callerInterface.headers
         val notRun = head.headers().contains(names.notRun) || status.code() == MISDIRECTED_REQUEST
         when {
-            // The upstream may have written it for an earlier request on this connection, also one that it rejected.
-            !head.headers().contains(names.attemptId) ->
-                failBroken("the answer ${status.code()} doesn't say to which request it belongs")
             notRun -> fail(FailureKind.REFUSED_UNREAD, SendOutcome.REFUSED, "the upstream answered ${status.code()} unread")
             !isFromUpstream(head) && status.code() < FIRST_ERROR ->
                 fail(
