--- a/core/src/main/kotlin/buckthornbay/core/node/RouterNode.kt
+++ b/core/src/main/kotlin/buckthornbay/core/node/RouterNode.kt
@@ -122,6 +122,9 @@
         return applyPlans(nowMillis)
     }
 
+    /** Returns whether [upstream] is leaving by the host list. */
+    public fun isLeaving(upstream: UpstreamId): Boolean = upstream in leavingUpstreams
+
     /** Starts draining: the host accepts no new requests and announces to its peers that it is leaving. */
     public fun drain(nowMillis: Long): List<NodeEffect> {
         if (draining) return emptyList()
--- a/router/src/main/kotlin/buckthornbay/router/RequestDriver.kt
+++ b/router/src/main/kotlin/buckthornbay/router/RequestDriver.kt
@@ -8,9 +8,11 @@
 import buckthornbay.core.request.FailureAction
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestLifecycle
+import buckthornbay.core.request.ResponseEndDecision
 import buckthornbay.core.request.RetryBudget
 import buckthornbay.protocol.RequestEnd
 import buckthornbay.protocol.RequestId
+import buckthornbay.protocol.Upstream
 import buckthornbay.protocol.UpstreamId
 import buckthornbay.store.ClaimOutcome
 import buckthornbay.store.KeyClaims
@@ -41,6 +43,7 @@
 ) {
     private val inboxes = ConcurrentHashMap<RequestId, Channel<HolderEffect>>()
     private val budgets = ConcurrentHashMap<String, RetryBudget>()
+    private val endCheck = ResponseEndCheck(clock)
 
     fun inboxFor(id: RequestId): Channel<HolderEffect> = Channel<HolderEffect>(Channel.UNLIMITED).also { inboxes[id] = it }
 
@@ -71,6 +74,13 @@
         loop.post { node, now -> node.end(now, effect.pool, attemptId, 0.0, AttemptOutcome.CANCELLED) }
     }
 
+    /** Decides about a response of [upstream] that only the end of its connection ended. */
+    suspend fun checkEnd(upstream: Upstream): ResponseEndDecision {
+        val isConfigured = catalog()?.upstream(upstream.id)?.leaving == false
+        val isLeaving = !isConfigured || loop.ask { node, _ -> node.isLeaving(upstream.id) }
+        return endCheck.decide(upstream, isLeaving)
+    }
+
     fun budgetFor(request: CallerRequest): RetryBudget {
         val retryRatio = catalog()?.state?.state?.policy?.retryBudget ?: 0.0
         return budgets.getOrPut("${request.workspace.id}|${request.service.id}") { RetryBudget(retryRatio) }
@@ -279,7 +289,7 @@
     }
 
     private suspend fun stream(scope: CoroutineScope, winner: Winner, head: ResponseHead, meter: CostMeter): RequestEnd {
-        val forwarder = ResponseStream(context.upstreams, relay, lifecycle, meter, ::recordDecision)
+        val forwarder = ResponseStream(context.upstreams, relay, lifecycle, meter, context::checkEnd, ::recordDecision)
         var end: RequestEnd? = null
         caller.respondStream(head) { to -> end = forwarder.forward(scope, winner.exchange, head, request.isModel, to, caller) }
         settle(winner.id, if (end == RequestEnd.ANSWERED) AttemptOutcome.COMPLETED else AttemptOutcome.FAILED)
--- a/router/src/main/kotlin/buckthornbay/router/ResponseStream.kt
+++ b/router/src/main/kotlin/buckthornbay/router/ResponseStream.kt
@@ -3,7 +3,10 @@
 import buckthornbay.core.request.FailureAction
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestLifecycle
+import buckthornbay.core.request.ResponseEnd
+import buckthornbay.core.request.ResponseEndDecision
 import buckthornbay.protocol.RequestEnd
+import buckthornbay.protocol.Upstream
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
 import io.ktor.http.HttpHeaders
@@ -21,6 +24,7 @@
     private val relay: ResponseRelay,
     private val lifecycle: RequestLifecycle,
     private val meter: CostMeter,
+    private val checkEnd: suspend (Upstream) -> ResponseEndDecision,
     private val recordDecision: (String) -> Unit,
 ) {
     private class Segment(val exchange: UpstreamExchange, val head: ResponseHead)
@@ -51,9 +55,15 @@
     }
 
     private suspend fun relay(segment: Segment, to: ByteWriteChannel, isEventStream: Boolean): FailureKind? {
-        val result =
-            if (isEventStream) relay.relayEvents(segment.head.body, to, meter) else relay.relayBytes(segment.head.body, to)
-        return result.getError()
+        if (isEventStream) return relay.relayEvents(segment.head.body, to, meter).getError()
+        return relay.relayBytes(segment.head.body, to).getError() ?: failureAtEnd(segment)
+    }
+
+    private suspend fun failureAtEnd(segment: Segment): FailureKind? {
+        if (segment.head.isFramed) return null
+        val decision = checkEnd(segment.exchange.upstream)
+        recordDecision("the answer of ${segment.exchange.upstream.id} has no marked end: ${decision.reason}")
+        return FailureKind.BROKEN_IN_ANSWER.takeIf { decision.end == ResponseEnd.BROKEN_OFF }
     }
 
     private suspend fun resume(scope: CoroutineScope, interrupted: Segment, streamId: String?, failure: FailureKind): Segment? {
--- a/router/src/main/kotlin/buckthornbay/router/UpstreamClient.kt
+++ b/router/src/main/kotlin/buckthornbay/router/UpstreamClient.kt
@@ -121,4 +121,7 @@
 }
 
 /** The status and headers of an upstream response, with its unread body. */
-internal class ResponseHead(val status: HttpStatusCode, val headers: Headers, val body: ByteReadChannel)
+internal class ResponseHead(val status: HttpStatusCode, val headers: Headers, val body: ByteReadChannel) {
+    /** Whether the body has a length or chunks, so that its end can't be confused with that of the connection. */
+    val isFramed: Boolean get() = HttpHeaders.ContentLength in headers || HttpHeaders.TransferEncoding in headers
+}
--- a/router/src/test/kotlin/buckthornbay/router/TestFleet.kt
+++ b/router/src/test/kotlin/buckthornbay/router/TestFleet.kt
@@ -49,18 +49,25 @@
     }
 }
 
-/** Runs [test] against a fleet of [hosts] routers that serves [state]. */
-internal fun withFleet(hosts: Int = 3, state: DesiredState = testState(), test: suspend TestFleet.() -> Unit) = runBlocking {
-    resourceScope { startFleet(hosts, state).test() }
+/** Runs [test] against a fleet of [hosts] routers that serves [state]; [adapt] gets it with the URLs of the stand-ins. */
+internal fun withFleet(
+    hosts: Int = 3,
+    state: DesiredState = testState(),
+    adapt: (DesiredState) -> DesiredState = { it },
+    test: suspend TestFleet.() -> Unit,
+) = runBlocking {
+    resourceScope { startFleet(hosts, state, adapt).test() }
 }
 
-private suspend fun ResourceScope.startFleet(hosts: Int, state: DesiredState): TestFleet {
+private suspend fun ResourceScope.startFleet(hosts: Int, state: DesiredState, adapt: (DesiredState) -> DesiredState): TestFleet {
     val standIns = standIns(state)
     val ports = freeLoopbackPorts(hosts)
     val urls = ports.map { "http://127.0.0.1:$it" }
     val routers = ports.mapIndexed { index, port -> routerProcess(testSettings(index, port, urls, standIns.platformUrl)) }
     val client = install({ HttpClient(Java) { expectSuccess = false } }, { client, _ -> client.close() })
-    DesiredStateStore(standIns.store).apply(standIns.state, expectedVersion = 0, applyId = "first").getOrElse { error("$it") }
+    DesiredStateStore(standIns.store).apply(adapt(standIns.state), expectedVersion = 0, applyId = "first").getOrElse {
+        error("$it")
+    }
     withTimeout(READY_TIMEOUT_MILLIS) { urls.forEach { url -> while (!client.get("$url/readyz").status.isSuccess()) delay(20) } }
     return TestFleet(standIns, routers, urls, client)
 }
