--- a/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
@@ -64,14 +64,13 @@
     /**
      * Returns whether [upstream] is shutting down: it or its registration says so, or its registration is gone.
      *
-     * A registration also goes a few heartbeats after a crash, when no response of the upstream is in progress any more.
+     * A registration also goes a few heartbeats after a crash, when no response of the upstream is in progress any more. Around
+     * an outage of the store its absence says nothing.
      */
-    public fun isLeaving(upstream: UpstreamEntry): Boolean {
-        val registration = registrations[upstream.id]
-        return registration == null ||
-            registration.graceEndsAtMillis != null ||
-            registration.entry.draining ||
-            notices.isLeaving(upstream)
+    public fun isLeaving(nowMillis: Long, upstream: UpstreamEntry): Boolean {
+        val registration = registrations[upstream.id] ?: return true
+        val isGone = registration.graceEndsAtMillis != null && !isAroundOutage(nowMillis)
+        return isGone || registration.entry.draining || notices.isLeaving(upstream)
     }
 
     /** Returns whether a later incarnation of [upstream] is registered. */
@@ -124,7 +123,7 @@
      * Removes none during a store outage and within [GRACE_AFTER_RECOVERY_MILLIS] after it.
      */
     public fun expire(nowMillis: Long): List<UpstreamId> {
-        if (storeLost || nowMillis - storeRecoveredAtMillis < GRACE_AFTER_RECOVERY_MILLIS) return emptyList()
+        if (isAroundOutage(nowMillis)) return emptyList()
         val expired = registrations.values
             .filter { registration -> registration.graceEndsAtMillis?.let { it <= nowMillis } == true }
             .map { it.entry.id }
@@ -132,6 +131,9 @@
         return expired
     }
 
+    private fun isAroundOutage(nowMillis: Long): Boolean =
+        storeLost || nowMillis - storeRecoveredAtMillis < GRACE_AFTER_RECOVERY_MILLIS
+
     /** Stores [entry] unless it is a delayed write that is older than the known registration. */
     private fun put(entry: UpstreamEntry) {
         val previous = registrations[entry.id]?.entry ?: tombstones[entry.id]
--- a/core/src/test/kotlin/buckthornbay/core/registry/UpstreamRegistryTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/registry/UpstreamRegistryTest.kt
@@ -86,4 +86,34 @@
         registry.replaceAll(nowMillis = 0, entries = emptyList(), revision = 9)
         assertEquals(listOf("a"), usable())
     }
+
+    @Test
+    fun anUpstreamWhoseRegistrationIsGoneIsLeaving() {
+        registry.put(entry("a"), revision = 1)
+        assertEquals(false, registry.isLeaving(nowMillis = 9_000, entry("a")))
+        registry.removed(nowMillis = 10_000, UpstreamId("a"), revision = 2)
+        assertEquals(true, registry.isLeaving(nowMillis = 10_000, entry("a")))
+        registry.expire(nowMillis = 12_000)
+        assertEquals(true, registry.isLeaving(nowMillis = 12_000, entry("a")))
+    }
+
+    /** Registrations expire while the store is unavailable, also those of upstreams that crash then. */
+    @Test
+    fun anUpstreamWhoseRegistrationGoesAroundAnOutageIsTakenForLeaving() {
+        registry.put(entry("a"), revision = 1)
+        registry.storeLost()
+        registry.removed(nowMillis = 10_000, UpstreamId("a"), revision = 2)
+        assertEquals(false, registry.isLeaving(nowMillis = 10_000, entry("a")))
+        registry.storeRegained(nowMillis = 11_000)
+        assertEquals(false, registry.isLeaving(nowMillis = 12_999, entry("a")))
+        assertEquals(true, registry.isLeaving(nowMillis = 13_000, entry("a")))
+    }
+
+    @Test
+    fun onlyALaterIncarnationIsARestart() {
+        registry.put(entry("a"), revision = 1)
+        assertEquals(false, registry.hasRestarted(entry("a", sequence = 7)))
+        registry.put(entry("a", startedAt = 2_000), revision = 2)
+        assertEquals(listOf(true, false), listOf(entry("a"), entry("a", startedAt = 2_000)).map(registry::hasRestarted))
+    }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -273,11 +273,12 @@
 
     private fun decideEnd(endedAtMillis: Long, reachability: Reachability, onComplete: () -> Unit) {
         val registry = context.access.registry
+        val nowMillis = context.clock.nowMillis()
         val connectionEnd = ConnectionEnd(
             endedAtMillis,
             reachability,
-            context.clock.nowMillis(),
-            registry.isLeaving(upstream.entry),
+            nowMillis,
+            registry.isLeaving(nowMillis, upstream.entry),
             registry.hasRestarted(upstream.entry),
             upstream.breaksAtMillis,
         )
