--- a/router/src/main/kotlin/buckthornbay/router/UpstreamClient.kt
+++ b/router/src/main/kotlin/buckthornbay/router/UpstreamClient.kt
@@ -13,6 +13,7 @@
 import io.ktor.client.request.url
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.request
 import io.ktor.http.Headers
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
@@ -75,7 +76,12 @@
 
     private suspend fun headOf(response: HttpResponse): Result<ResponseHead, FailureKind> = when (response.status) {
         HttpStatusCode.TooManyRequests -> Err(FailureKind.REFUSED_UNREAD)
-        else -> Ok(ResponseHead(response.status, response.headers, response.bodyAsChannel()))
+        else -> Ok(ResponseHead(response.status, response.headers, response.bodyAsChannel(), isFramed(response)))
+    }
+
+    private fun isFramed(response: HttpResponse): Boolean {
+        val hasNoBody = response.request.method == HttpMethod.Head || response.status in STATUSES_WITHOUT_BODY
+        return hasNoBody || HttpHeaders.ContentLength in response.headers || HttpHeaders.TransferEncoding in response.headers
     }
 
     private fun HttpRequestBuilder.copyHeaders(from: Headers) {
@@ -87,6 +93,8 @@
     }
 
     internal companion object {
+        private val STATUSES_WITHOUT_BODY = setOf(HttpStatusCode.NoContent, HttpStatusCode.NotModified)
+
         /** Headers that apply to a single connection or to the router itself and are not forwarded; names are in lower case. */
         val HOP_BY_HOP_HEADERS: Set<String> = setOf(
             "authorization",
@@ -120,8 +128,9 @@
     fun cancel() = job.cancel()
 }
 
-/** The status and headers of an upstream response, with its unread body. */
-internal class ResponseHead(val status: HttpStatusCode, val headers: Headers, val body: ByteReadChannel) {
-    /** Whether the body has a length or chunks, so that its end can't be confused with that of the connection. */
-    val isFramed: Boolean get() = HttpHeaders.ContentLength in headers || HttpHeaders.TransferEncoding in headers
-}
+/**
+ * The status and headers of an upstream response, with its unread body.
+ *
+ * @property isFramed whether the body has a length or chunks, so that its end can't be confused with that of the connection.
+ */
+internal class ResponseHead(val status: HttpStatusCode, val headers: Headers, val body: ByteReadChannel, val isFramed: Boolean)
