--- a/router/src/main/kotlin/buckthornbay/router/HostClients.kt
+++ b/router/src/main/kotlin/buckthornbay/router/HostClients.kt
@@ -12,6 +12,7 @@
 import okhttp3.Dispatcher
 import okhttp3.OkHttpClient
 import okhttp3.Protocol
+import okhttp3.Request
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -86,15 +87,7 @@
 private fun OkHttpClient.Builder.sendOnce() {
     retryOnConnectionFailure(false)
     addInterceptor { chain ->
-        val request = chain.request()
-        val sent = if (request.header(ACCEPT_ENCODING) ==
-            null
-        ) {
-            request.newBuilder().header(ACCEPT_ENCODING, "identity").build()
-        } else {
-            request
-        }
-        val response = chain.proceed(sent)
+        val response = chain.proceed(uncompressed(chain.request()))
         val retryAfter = response.header(HIDDEN_RETRY_AFTER) ?: return@addInterceptor response
         response.newBuilder().removeHeader(HIDDEN_RETRY_AFTER).header(RETRY_AFTER, retryAfter).build()
     }
@@ -105,6 +98,11 @@
     }
 }
 
+private fun uncompressed(request: Request): Request {
+    if (request.header(ACCEPT_ENCODING) != null) return request
+    return request.newBuilder().header(ACCEPT_ENCODING, "identity").build()
+}
+
 private const val ACCEPT_ENCODING = "Accept-Encoding"
 private const val RETRY_AFTER = "Retry-After"
 private const val HIDDEN_RETRY_AFTER = "Buckthornbay-Hidden-Retry-After"
