--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 
 private val logger = KotlinLogging.logger {}
 
@@ -177,12 +178,12 @@
         endsWithConnection = !isFramed
         setConnectionHeader(response.headers())
         streaming = true
-        context.write(response)
+        write(response)
     }
 
     /** Writes a chunk of the response that [beginStream] started, without flushing it. */
     fun writeChunk(bytes: ByteBuf) {
-        context.write(DefaultHttpContent(bytes))
+        write(DefaultHttpContent(bytes))
     }
 
     /** Flushes the chunks written so far. */
@@ -192,14 +193,33 @@
 
     /** Ends the response that [beginStream] started. */
     fun endStream() {
+        val written = write(LastHttpContent.EMPTY_LAST_CONTENT)
+        context.flush()
         streaming = false
-        val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
         responseWritten(written)
     }
 
     private fun finish(response: DefaultFullHttpResponse): ChannelFuture {
         setConnectionHeader(response.headers())
-        return context.writeAndFlush(response).also(::responseWritten)
+        val written = write(response)
+        context.flush()
+        responseWritten(written)
+        return written
+    }
+
+    /** Writes [part] of a response; if that fails, nothing of the response may follow. A lost connection closes by itself. */
+    private fun write(part: HttpObject): ChannelFuture = context.write(part).addListener(
+        ChannelFutureListener { future ->
+            val cause = future.cause()
+            if (cause != null && cause !is IOException && !closing) writeFailed(cause)
+        },
+    )
+
+    private fun writeFailed(cause: Throwable) {
+        logger.warn { "event=write_failed reason=\"$cause\"" }
+        val failedWork = work
+        abort()
+        failedWork?.callerDisconnected()
     }
 
     private fun setConnectionHeader(headers: HttpHeaders) {
@@ -293,8 +313,11 @@
     private inner class RequestDispatch(private val request: ReceivedRequest) :
         CallerWork,
         Runnable {
+        private var isHandled = false
+
         override fun run() {
             if (work !== this || !context.channel().isActive) return
+            isHandled = true
             val startedWork = handler.handle(request, this@CallerConnection)
             if (work === this) work = startedWork
         }
@@ -307,7 +330,7 @@
         }
 
         override fun callerDisconnected() {
-            request.release()
+            if (!isHandled) request.release()
         }
     }
 
