Log how long calls of the store took, and how old the knowledge was

The lines about the store told that a call had failed or that the history was gone, not how long the host had waited for it and what it knew meanwhile. A lost watch (long call, error), a watch that is told late (long call, history gone) and a version that is known but not applied (young knowledge) could not be told apart.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -80,13 +80,24 @@
         }
 
         fun onSnapshot(atMillis: Long, snapshot: CollectionSnapshot) {
+            log.stateChange("event=store_listed ${fields(atMillis)} revision=${snapshot.revision}")
             apply(snapshot)
             confirm(atMillis, snapshot.revision, changed = true)
         }
 
-        fun onChanges(atMillis: Long, changes: CollectionChanges) {
+        fun onChanges(sentAtMillis: Long, atMillis: Long, changes: CollectionChanges) {
+            val count = changes.changes.size
+            if (count > 0) {
+                log.stateChange("event=store_changed ${fields(sentAtMillis)} changes=$count revision=${changes.revision}")
+            }
             apply(changes)
-            confirm(atMillis, changes.revision, changes.changes.isNotEmpty())
+            confirm(atMillis, changes.revision, count > 0)
+        }
+
+        /** Returns the log fields of a call that was sent at [sentAtMillis] and has ended now. */
+        fun fields(sentAtMillis: Long): String {
+            val nowMillis = clock.nowMillis()
+            return "kind=$kind call_ms=${nowMillis - sentAtMillis} age_ms=${knowledge.ageMillis(nowMillis)}"
         }
 
         private fun confirm(atMillis: Long, revision: Long, changed: Boolean) {
@@ -100,12 +111,12 @@
             val lost = lostAtMillis ?: return
             if (knowledge.confirmedAtMillis < lost) return
             lostAtMillis = null
-            log.stateChange("event=store_regained kind=$kind")
+            log.stateChange("event=store_regained kind=$kind lost_ms=${clock.nowMillis() - lost}")
             storeRegained()
         }
 
-        fun recordFailure(error: StoreError) {
-            if (lostAtMillis == null) log.warning("event=store_lost kind=$kind reason=\"$error\"")
+        fun recordFailure(sentAtMillis: Long, error: StoreError) {
+            if (lostAtMillis == null) log.warning("event=store_lost ${fields(sentAtMillis)} reason=\"$error\"")
             lostAtMillis = clock.nowMillis()
             storeLost()
         }
@@ -141,7 +152,7 @@
 
     private suspend fun list(watched: WatchedCollection): Result<Unit, StoreError> {
         val sentAtMillis = clock.nowMillis()
-        return store.list(watched.kind).onFailure(watched::recordFailure).map { watched.onSnapshot(sentAtMillis, it) }
+        return store.list(watched.kind).onFailure { watched.recordFailure(sentAtMillis, it) }.map { watched.onSnapshot(sentAtMillis, it) }
     }
 
     private suspend fun watch(watched: WatchedCollection, call: StoreCall.Watch): Result<Unit, StoreError> {
@@ -149,15 +160,15 @@
         val result = store.watch(watched.kind, call.revision, call.waitMillis)
         // The store answers when the wait is over; a response that took longer describes an earlier state.
         val answeredAtMillis = minOf(clock.nowMillis(), sentAtMillis + call.waitMillis)
-        return result.onFailure { recordFailure(watched, it, call.revision) }.map { changes ->
-            watched.onChanges(answeredAtMillis, changes)
+        return result.onFailure { recordFailure(watched, sentAtMillis, it, call.revision) }.map { changes ->
+            watched.onChanges(sentAtMillis, answeredAtMillis, changes)
             if (changes.changes.isNotEmpty()) delay(watched.batchMillis.milliseconds)
         }
     }
 
-    private fun recordFailure(watched: WatchedCollection, error: StoreError, revision: Long) {
-        if (error != StoreError.HistoryGone) return watched.recordFailure(error)
-        log.stateChange("event=store_history_gone kind=${watched.kind} revision=$revision")
+    private fun recordFailure(watched: WatchedCollection, sentAtMillis: Long, error: StoreError, revision: Long) {
+        if (error != StoreError.HistoryGone) return watched.recordFailure(sentAtMillis, error)
+        log.stateChange("event=store_history_gone ${watched.fields(sentAtMillis)} revision=$revision")
         watched.knowledge.forgetRevision()
     }
 
