Reproduce changes that come late because watches of the store are not answered

LostWatchTest plays fleets of 1 to 72 hosts in virtual time: a silent outage, connections that go silent, and a history that is dropped behind waiting watches, at each 100 ms of a watch. UnansweredWatchTest shows the first and the last on sockets.

--- a/core/src/test/kotlin/buckthornbay/core/membership/LargeFleetStoreTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/membership/LargeFleetStoreTest.kt
@@ -30,7 +30,7 @@
     }
 
     private fun SimulatedStoreFleet.assertNoLateChange(judged: (Host) -> Boolean = { true }) {
-        val late = lateChanges(sinceMillis = WARM_UP_MILLIS, judged)
+        val late = lateChanges(WARM_UP_MILLIS, judged = judged)
         assertEquals(emptyList(), late.take(5), "${late.size} late changes")
     }
 
--- a/core/src/test/kotlin/buckthornbay/core/membership/SimulatedStoreFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/membership/SimulatedStoreFleet.kt
@@ -54,7 +54,7 @@
             if (version <= version(followed)) return
             for (applied in version(followed) + 1..version) appliedAtMillis.getValue(followed)[applied] = nowMillis
             versions[followed] = version
-            hosts.shuffled(random).take(ANNOUNCE_FAN_OUT).forEach { heartbeat(it) }
+            (hosts - this).shuffled(random).take(ANNOUNCE_FAN_OUT).forEach { heartbeat(it) }
         }
 
         fun follow(followed: Followed, failures: Int = 0) {
@@ -72,7 +72,8 @@
             val deadlineMillis = nowMillis + waitMillis + CALL_TIMEOUT_MILLIS
             if (fault(followed) == StoreFault.SILENT) return at(deadlineMillis) { retry(followed, failures) }
             if (fault(followed) == StoreFault.REJECTED) return after(responseMillis) { retry(followed, failures) }
-            poll(Poll(followed, failures, sentAtMillis, waitMillis, deadlineMillis, isAnswered))
+            val revision = schedules.getValue(followed).knowledge.revision.takeIf { waitMillis > 0 }
+            poll(Poll(followed, failures, sentAtMillis, waitMillis, deadlineMillis, revision, isAnswered))
         }
 
         private inner class Poll(
@@ -81,20 +82,40 @@
             val sentAtMillis: Long,
             val waitMillis: Long,
             val deadlineMillis: Long,
+            /** The revision that a watch continues from, or null for a list. */
+            val fromRevision: Long?,
             val isAnswered: () -> Boolean,
-        )
+        ) {
+            val isWaitOver: Boolean get() = nowMillis >= sentAtMillis + waitMillis
+        }
 
-        private fun poll(poll: Poll): Unit = when (fault(poll.followed)) {
-            StoreFault.SILENT -> at(poll.deadlineMillis) { retry(poll.followed, poll.failures) }
-            StoreFault.REJECTED -> after(responseMillis) { retry(poll.followed, poll.failures) }
-            StoreFault.NONE -> if (poll.isAnswered() || nowMillis >= poll.sentAtMillis + poll.waitMillis) {
+        private fun poll(poll: Poll): Unit = when {
+            fault(poll.followed) == StoreFault.SILENT || poll.sentAtMillis < callsLostBeforeMillis ->
+                at(poll.deadlineMillis) { retry(poll.followed, poll.failures) }
+            fault(poll.followed) == StoreFault.REJECTED -> after(responseMillis) { retry(poll.followed, poll.failures) }
+            poll.fromRevision != null && poll.sentAtMillis < watchesCutBeforeMillis && nowMillis >= watchesCutBeforeMillis ->
+                after(responseMillis) { retry(poll.followed, poll.failures) }
+            poll.fromRevision != null && (nowMillis < deafUntilMillis || poll.fromRevision < oldestRevision) -> {
+                // A watch that already waits is told that the history is gone when its wait is over; if that is before, never.
+                val toldAtMillis = if (poll.sentAtMillis >= deafUntilMillis) nowMillis else poll.sentAtMillis + poll.waitMillis
+                when {
+                    nowMillis < deafUntilMillis || nowMillis < toldAtMillis -> after(POLL_MILLIS) { poll(poll) }
+                    toldAtMillis >= deafUntilMillis -> after(responseMillis) { relist(poll.followed) }
+                    else -> at(poll.deadlineMillis) { retry(poll.followed, poll.failures) }
+                }
+            }
+            poll.isAnswered() || poll.isWaitOver -> {
                 val revision = storeRevision
                 val version = newestVersion(poll.followed)
                 val isChanged = poll.isAnswered()
                 after(responseMillis) { receive(poll, revision, version, isChanged) }
-            } else {
-                after(POLL_MILLIS) { poll(poll) }
             }
+            else -> after(POLL_MILLIS) { poll(poll) }
+        }
+
+        private fun relist(followed: Followed) {
+            schedules.getValue(followed).knowledge.forgetRevision()
+            follow(followed)
         }
 
         private fun receive(poll: Poll, revision: Long, version: Long, isChanged: Boolean) {
@@ -155,6 +176,10 @@
     private var sequence = 0
     private val history = ArrayList<Change>()
     private var storeRevision = 1L
+    private var oldestRevision = 0L
+    private var callsLostBeforeMillis = Long.MIN_VALUE
+    private var watchesCutBeforeMillis = Long.MIN_VALUE
+    private var deafUntilMillis = Long.MIN_VALUE
 
     var nowMillis = 0L
         private set
@@ -175,7 +200,8 @@
         Followed.entries.forEach(::change)
         for (host in hosts) {
             Followed.entries.forEach { followed -> at(random.nextLong(START_MILLIS)) { host.follow(followed) } }
-            every(HEARTBEAT_MILLIS) { host.heartbeat(hosts.random(random)) }
+            val peers = hosts - host
+            if (peers.isNotEmpty()) every(HEARTBEAT_MILLIS) { host.heartbeat(peers.random(random)) }
             every(EXCHANGE_MILLIS) { exchangeTargets(host).forEach(host::exchange) }
         }
     }
@@ -186,6 +212,18 @@
         history += Change(storeRevision, nowMillis, followed)
     }
 
+    /** Loses the responses to all calls that have been sent; calls on new connections are answered. */
+    fun loseCalls() {
+        callsLostBeforeMillis = nowMillis
+    }
+
+    /** Lets watches hear of no change for [deafMillis], then cuts them, and drops the history shortly after that. */
+    fun dropHistory(deafMillis: Long) {
+        watchesCutBeforeMillis = nowMillis + deafMillis
+        deafUntilMillis = watchesCutBeforeMillis + DROP_DELAY_MILLIS
+        at(deafUntilMillis) { oldestRevision = storeRevision }
+    }
+
     fun runUntil(millis: Long) {
         while (events.isNotEmpty() && events.peek().atMillis <= millis) {
             val event = events.remove()
@@ -201,15 +239,22 @@
 
     fun every(periodMillis: Long, action: () -> Unit) = repeatAt(nowMillis + random.nextLong(periodMillis), periodMillis, action)
 
-    /** Returns the changes from [sinceMillis] on that [judged] hosts applied later than the allowed lag, or not yet. */
-    fun lateChanges(sinceMillis: Long, judged: (Host) -> Boolean): List<LateChange> = Followed.entries.flatMap { followed ->
+    /**
+     * Returns the changes from [sinceMillis] on that [judged] hosts applied later than the allowed lag, or not yet; changes that
+     * must be applied by [noSoonerMillis] or before are not late until then.
+     */
+    fun lateChanges(
+        sinceMillis: Long,
+        noSoonerMillis: Long = Long.MIN_VALUE,
+        judged: (Host) -> Boolean,
+    ): List<LateChange> = Followed.entries.flatMap { followed ->
         val changes = history.filter { it.followed == followed }
         changes.flatMapIndexed { index, change ->
-            if (change.atMillis !in sinceMillis..nowMillis - lagMillis) return@flatMapIndexed emptyList()
+            val limitMillis = maxOf(change.atMillis + lagMillis, noSoonerMillis)
+            if (change.atMillis < sinceMillis || limitMillis > nowMillis) return@flatMapIndexed emptyList()
             hosts.filter(judged).mapNotNull { host ->
                 val appliedAtMillis = host.appliedAtMillis.getValue(followed)[index + 1L] ?: nowMillis
-                val lag = appliedAtMillis - change.atMillis
-                LateChange(host.id, followed, index + 1L, lag).takeIf { lag > lagMillis }
+                LateChange(host.id, followed, index + 1L, appliedAtMillis - change.atMillis).takeIf { appliedAtMillis > limitMillis }
             }
         }
     }
@@ -230,7 +275,9 @@
 
     private fun isDead(host: Host) = host.isFrozen && host.frozenUntilMillis - nowMillis < FREEZE_MILLIS - DEAD_AFTER_MILLIS
 
+    /** Hosts with which [host] exchanges accounts, which small fleets don't do. */
     private fun exchangeTargets(host: Host): List<Host> {
+        if (hosts.size <= StoreCallSettings().smallFleet) return emptyList()
         val own = aggregatorOf(host.index % ZONES)
         if (own != host) return listOf(own)
         return (0 until ZONES).filter { it != host.index % ZONES }.map(::aggregatorOf)
@@ -244,6 +291,9 @@
 
         private val LONG_POLL_MILLIS = mapOf(Followed.CONFIGURATION to 4_000L, Followed.REGISTRATIONS to 2_000L)
         private const val ZONES = 6
+
+        /** Time from the end of the watches until the history is dropped, in milliseconds. */
+        private const val DROP_DELAY_MILLIS = 50L
         private const val START_MILLIS = 300L
         private const val STORE_MILLIS = 4L
         private const val POLL_MILLIS = 5L
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformStoreServer.kt
@@ -84,6 +84,9 @@
     private var revision = 1L
     private var oldestRevision = 0L
 
+    @Volatile
+    private var deafBeforeNanos = Long.MIN_VALUE
+
     @Volatile
     private var calls = 0
     private val watching = ConcurrentHashMap<String, AtomicInteger>()
@@ -146,6 +149,12 @@
         oldestRevision = revision
     }
 
+    /** Lets the watches that are waiting now hear of nothing until their wait is over. Later ones hear of all changes. */
+    @Synchronized
+    public fun deafenWatches() {
+        deafBeforeNanos = System.nanoTime()
+    }
+
     override fun close() {
         server.stop(0, 0)
     }
@@ -186,10 +195,15 @@
 
     private suspend fun ApplicationCall.awaitChanges() {
         val since = checkNotNull(parameter("Watch")?.toLongOrNull()) { "the Watch parameter must be a revision number" }
-        val endNanos = System.nanoTime() + (parameter("WaitMs")?.toLong() ?: 0) * NANOS_PER_MILLI
+        val startNanos = System.nanoTime()
+        val endNanos = startNanos + (parameter("WaitMs")?.toLong() ?: 0) * NANOS_PER_MILLI
         while (true) {
             if (isSilent(this)) awaitCancellation()
             if (isBusy(this)) return respond(HttpStatusCode.ServiceUnavailable)
+            if (startNanos < deafBeforeNanos && System.nanoTime() < endNanos) {
+                delay(WATCH_POLL_MILLIS.milliseconds)
+                continue
+            }
             val (gone, events, now) = synchronized(this@PlatformStoreServer) {
                 Triple(since < oldestRevision, history.filter { it.kind == kind() && it.revision > since }, revision)
             }
