Bound the age of what a host knows of the store, not the patience of a call

Callers saw requests handled by a configuration that was seconds out of date, and sent to upstreams that had left: the response to a watch was lost, or the watch was told nothing while its history was dropped, and the host waited for it for up to 5 s (configuration) or 3 s (registrations), whatever the limits of the site. In fleets of up to 12 hosts no age was looked at. All hosts were in step, since one change ends all watches, so that no peer could tell the others.

Now the age of the knowledge decides in fleets of every size: near the limit a host checks for changes on a new connection while the old watch still waits, and again if that isn't answered; the first response counts. After a failed watch a check comes first. Waits, ages and pauses are parts of the limits of the settings (StoreCallTimes), with contactMillis as the new one. The watches of a small fleet end one after the other, so that its hosts confirm each other's knowledge with fewer calls than before. A watch that was cut off doesn't count as an outage of the store any more; a failed check does.

--- a/core/src/main/kotlin/buckthornbay/core/membership/StoreCallSchedule.kt
+++ b/core/src/main/kotlin/buckthornbay/core/membership/StoreCallSchedule.kt
@@ -1,17 +1,43 @@
 package buckthornbay.core.membership
 
 import buckthornbay.protocol.HostId
+import org.apache.commons.rng.UniformRandomProvider
 
-/** What a host does next to keep its knowledge of a collection of the store complete. */
+/** A call of the store for one collection. */
 public sealed interface StoreCall {
     /** Lists all objects. */
     public data object ListAll : StoreCall
 
     /** Asks for the changes since [revision], waiting up to [waitMillis] for one. */
     public data class Watch(public val revision: Long, public val waitMillis: Long) : StoreCall
+}
+
+/**
+ * A call that is under way since [sentAtMillis].
+ *
+ * @property isCheck whether the store is to respond at once.
+ * @property onNewConnection whether the call needs a connection of its own, because others may have gone silent.
+ */
+public class PendingStoreCall internal constructor(
+    public val call: StoreCall,
+    public val sentAtMillis: Long,
+    public val isCheck: Boolean,
+    public val onNewConnection: Boolean,
+) {
+    /** Returns the time as of which a response that arrives at [nowMillis] is complete: no later than the wait was over. */
+    internal fun answeredAtMillis(nowMillis: Long): Long = when (call) {
+        is StoreCall.ListAll -> sentAtMillis
+        is StoreCall.Watch -> minOf(nowMillis, sentAtMillis + call.waitMillis)
+    }
+}
+
+/** What a host does next to keep its knowledge of a collection of the store complete. */
+public sealed interface StoreStep {
+    /** Sends [call] beside those that are under way, and ends [givenUp], which got no response for too long. */
+    public data class Send(public val call: PendingStoreCall, public val givenUp: PendingStoreCall? = null) : StoreStep
 
-    /** Leaves the collection to the peers and decides again after [millis]. */
-    public data class Delegate(public val millis: Long) : StoreCall
+    /** Decides again after [millis], or when a call has ended. */
+    public data class Wait(public val millis: Long) : StoreStep
 }
 
 /** Returns whether [host] watches the store for the others, given the [live] hosts; in a small fleet all hosts do. */
@@ -25,61 +51,140 @@
 /**
  * The decision when a host calls the store for one collection; otherwise it receives changes from its peers.
  *
- * Store calls are billed individually, so the number of hosts that watch does not grow with the fleet. A host relies on them
- * only as long as its own knowledge is young. At an age that depends on its place in the order of rendezvous hashing, it takes
- * over: a few hosts take over from watchers that are rejected, frozen or cut off, and a large fleet doesn't call the store in
- * one moment. It does so early enough to get a response within the allowed lag, and relies on its peers again as soon as one
- * of them confirms the knowledge later than its own call.
+ * Store calls are billed individually, so the number of hosts that watch does not grow with the fleet, and a watch waits long.
+ * What a host trusts is not that a call is under way but the age of its knowledge, which responses of the store and statements of
+ * peers make younger. At an age that depends on its place in the order of rendezvous hashing, it checks for changes on a new
+ * connection, whatever it has waited for until then: the response to a watch may be lost, or a watch may be told nothing.
+ * A few hosts come first, so that what they learn spares the others a call. The first response counts.
  *
- * @param lagMillis time within which all hosts must have applied a change, in milliseconds.
- * @param longPollMillis longest time for which a call waits for a change, in milliseconds.
+ * @param times the times of the calls, which the limits of the deployment decide.
+ * @param batchMillis time after a change before the next watch, in milliseconds, in which further changes accumulate.
  */
 public class StoreCallSchedule(
     private val self: HostId,
     public val knowledge: CollectionKnowledge,
-    private val lagMillis: Long,
-    private val longPollMillis: Long,
+    private val times: StoreCallTimes,
+    private val random: UniformRandomProvider,
+    private val batchMillis: Long = 0,
     private val settings: StoreCallSettings = StoreCallSettings(),
 ) {
     /** Whether this host calls the store because its peers don't confirm its knowledge. */
     public var takesOver: Boolean = false
         private set
+    private val pending = ArrayList<PendingStoreCall>()
+    private var overdueAtMillis = Long.MIN_VALUE
+    private var unanswered = 0
+    private var failures = 0
+    private var resumeAtMillis = Long.MIN_VALUE
     private var lastCallAtMillis = Long.MIN_VALUE
-    private var justChanged = false
+    private var isInStep = true
     private var rankedHosts: Collection<HostId> = emptyList()
     private var rank = 0
 
+    private val hasPendingCheck: Boolean get() = pending.any { it.isCheck }
+
     /** Returns what to do next, given the [live] hosts and whether this host [isKnown] to have received any object. */
-    public fun next(nowMillis: Long, live: Collection<HostId>, isKnown: Boolean): StoreCall {
-        if (live.size <= settings.smallFleet) return call(nowMillis, longPollMillis)
+    public fun next(nowMillis: Long, live: Collection<HostId>, isKnown: Boolean): StoreStep {
         updateRank(live)
-        val watchMillis = minOf(longPollMillis, settings.watchMillis)
-        if (rank < settings.watchers) return call(nowMillis, alternatingMillis(nowMillis, watchMillis))
-        val untilDueMillis = dueAgeMillis(live.size) - knowledge.ageMillis(nowMillis)
-        if (untilDueMillis <= 0 || !isKnown) {
-            takesOver = true
-            return call(nowMillis, CHECK_MILLIS)
+        if (nowMillis < resumeAtMillis) return wait(resumeAtMillis - nowMillis)
+        if (hasPendingCheck && nowMillis < overdueAtMillis) return wait(overdueAtMillis - nowMillis)
+        val untilDueMillis = times.dueAgeMillis(rank, live.size) - knowledge.ageMillis(nowMillis)
+        val isDue = untilDueMillis <= 0
+        if (!watchesStore(live.size)) {
+            takesOver = isDue || !isKnown || (takesOver && knowledge.confirmedByPeersAtMillis <= lastCallAtMillis)
+            if (!takesOver) return wait(untilDueMillis)
+        }
+        return when {
+            isDue -> check(nowMillis)
+            pending.any { !it.isCheck } -> wait(untilDueMillis)
+            failures > 0 || hasPendingCheck -> check(nowMillis)
+            else -> watch(nowMillis, live.size)
         }
-        if (takesOver && knowledge.confirmedByPeersAtMillis <= lastCallAtMillis) return call(nowMillis, watchMillis)
-        takesOver = false
-        return StoreCall.Delegate(untilDueMillis.coerceAtMost(settings.decisionMillis))
     }
 
-    /** Records a response that this host has applied: as of [atMillis] and [revision], with changes if [changed]. */
-    public fun recordResponse(atMillis: Long, revision: Long, changed: Boolean) {
-        knowledge.confirm(atMillis, revision)
-        justChanged = changed
+    /**
+     * Records that the response to [call], which this host has applied, arrived at [nowMillis] with [revision], and with changes
+     * if [changed]. Returns the calls that are not needed any more.
+     */
+    public fun answered(nowMillis: Long, call: PendingStoreCall, revision: Long, changed: Boolean): List<PendingStoreCall> {
+        pending.remove(call)
+        knowledge.confirm(call.answeredAtMillis(nowMillis), revision)
+        isInStep = changed || failures > 0
+        failures = 0
+        unanswered = 0
+        resumeAtMillis = if (changed) nowMillis + batchMillis else nowMillis
+        // A watch that should have told of the change first is not going to tell of the next one either.
+        return supersede { it.isCheck || changed }
+    }
+
+    /** Records that [call] failed because the history is gone. Returns the calls that are not needed any more. */
+    public fun historyGone(call: PendingStoreCall): List<PendingStoreCall> {
+        pending.remove(call)
+        knowledge.forgetRevision()
+        return supersede { true }
+    }
+
+    /** Records that [call] failed at [nowMillis], and that the store wants no call for [pauseMillis] then. */
+    public fun failed(nowMillis: Long, call: PendingStoreCall, pauseMillis: Long = 0) {
+        pending.remove(call)
+        failures++
+        val pause = pauseMillis.coerceAtMost(times.longestBackoffMillis)
+        resumeAtMillis = nowMillis + maxOf(times.backoffMillis(failures, random), pause)
+    }
+
+    /** Forgets the calls that are under way, and lists the objects next. */
+    public fun restart() {
+        pending.clear()
+        knowledge.forgetRevision()
+    }
+
+    /** Sends a call to which the store responds at once, on a new connection if another call may have been lost. */
+    private fun check(nowMillis: Long): StoreStep {
+        val earlier = pending.filter { it.isCheck }
+        if (earlier.isNotEmpty()) unanswered++
+        val givenUp = earlier.takeIf { it.size >= MAX_CHECKS }?.first()
+        givenUp?.let(pending::remove)
+        overdueAtMillis = nowMillis + times.overdueMillis(unanswered, random)
+        val call = knowledge.revision?.let { StoreCall.Watch(it, CHECK_MILLIS) } ?: StoreCall.ListAll
+        return send(PendingStoreCall(call, nowMillis, isCheck = true, pending.isNotEmpty() || failures > 0), givenUp)
+    }
+
+    private fun watch(nowMillis: Long, hostCount: Int): StoreStep {
+        val revision = knowledge.revision ?: return check(nowMillis)
+        val call = StoreCall.Watch(revision, nextWatchMillis(nowMillis, hostCount))
+        isInStep = false
+        return send(PendingStoreCall(call, nowMillis, isCheck = false, onNewConnection = false))
+    }
+
+    private fun send(call: PendingStoreCall, givenUp: PendingStoreCall? = null): StoreStep {
+        pending += call
+        lastCallAtMillis = call.sentAtMillis
+        return StoreStep.Send(call, givenUp)
     }
 
     /**
-     * Returns the wait of a watcher, in milliseconds: shorter by rank if its last response came at the same time as that of
-     * another watcher, as it does after a change. The responses then alternate.
+     * Returns the wait of a watch, in milliseconds: shorter by rank if the last response came at the same time as those to other
+     * watchers, as it does after a change. The responses then come one after the other.
      */
-    private fun alternatingMillis(nowMillis: Long, watchMillis: Long): Long {
-        val isAligned = justChanged || nowMillis - knowledge.confirmedByPeersAtMillis < watchMillis / (2 * settings.watchers)
-        return if (isAligned) watchMillis * (rank + 1) / settings.watchers else watchMillis
+    private fun nextWatchMillis(nowMillis: Long, hostCount: Int): Long {
+        val watchMillis = times.watchMillis(hostCount)
+        if (rank >= watcherCount(hostCount)) return watchMillis
+        val isAligned = isInStep || (hostCount > settings.smallFleet && isAlignedWithPeer(nowMillis, watchMillis))
+        return if (isAligned) watchMillis * (rank + 1) / watcherCount(hostCount) else watchMillis
     }
 
+    private fun isAlignedWithPeer(nowMillis: Long, watchMillis: Long): Boolean =
+        nowMillis - knowledge.confirmedByPeersAtMillis < watchMillis / (2 * settings.watchers)
+
+    private fun supersede(isNeedless: (PendingStoreCall) -> Boolean): List<PendingStoreCall> =
+        pending.filter(isNeedless).also(pending::removeAll)
+
+    private fun wait(millis: Long): StoreStep = StoreStep.Wait(millis.coerceIn(1, settings.decisionMillis))
+
+    private fun watchesStore(hostCount: Int): Boolean = rank < watcherCount(hostCount)
+
+    private fun watcherCount(hostCount: Int): Int = if (hostCount <= settings.smallFleet) hostCount else settings.watchers
+
     /** Ranks this host again if the [live] hosts have changed. */
     private fun updateRank(live: Collection<HostId>) {
         if (live == rankedHosts) return
@@ -87,49 +192,11 @@
         rank = storeRank(self, live)
     }
 
-    private fun call(nowMillis: Long, waitMillis: Long): StoreCall {
-        lastCallAtMillis = nowMillis
-        return knowledge.revision?.let { StoreCall.Watch(it, waitMillis) } ?: StoreCall.ListAll
-    }
-
-    /** Returns the age of the knowledge, in milliseconds, at which this host takes over. */
-    private fun dueAgeMillis(hostCount: Int): Long {
-        val others = rank - settings.watchers - settings.backups
-        if (others < 0) return (lagMillis * settings.backupAgePart).toLong()
-        val place = others.toDouble() / (hostCount - settings.watchers - settings.backups)
-        return (lagMillis * (settings.firstAgePart + (settings.lastAgePart - settings.firstAgePart) * place)).toLong()
-    }
-
     private companion object {
         /** Wait of a call that only checks for changes, in milliseconds; the shortest that a store accepts. */
         const val CHECK_MILLIS = 1L
+
+        /** Largest number of checks under way; a slow store has the time of three to respond. */
+        const val MAX_CHECKS = 3
     }
 }
-
-/**
- * Settings of [StoreCallSchedule]; ages are parts of the time within which a change must be applied.
- *
- * @property smallFleet maximum fleet size at which all hosts watch; up to this size, the additional calls cost less than the
- * delay of receiving changes from peers.
- * @property watchers number of watching hosts in a larger fleet; tolerates two simultaneous failures.
- * @property backups number of hosts that are the first to take over if the watchers fail.
- * @property watchMillis longest wait of a watch in a larger fleet, in milliseconds; the watchers together confirm what all hosts
- * know several times within the allowed lag.
- * @property backupAgePart age at which the backups take over; more than the knowledge of any host reaches while the watchers
- * work.
- * @property firstAgePart age at which the first of all other hosts take over; what a backup learns has reached most of them.
- * @property lastAgePart age at which the last hosts take over; leaves time for a response, and to pass it on to hosts that the
- * store rejects.
- * @property decisionMillis longest time between two decisions of a host that relies on its peers, in milliseconds; a tenth of
- * the time within which changes must be applied.
- */
-public data class StoreCallSettings(
-    public val smallFleet: Int = 12,
-    public val watchers: Int = 3,
-    public val backups: Int = 4,
-    public val watchMillis: Long = 2_000,
-    public val backupAgePart: Double = 0.6,
-    public val firstAgePart: Double = 0.7,
-    public val lastAgePart: Double = 0.8,
-    public val decisionMillis: Long = 250,
-)
--- a/core/src/test/kotlin/buckthornbay/core/membership/LargeFleetStoreTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/membership/LargeFleetStoreTest.kt
@@ -106,6 +106,49 @@
         assertTrue(callsPerSecond <= 3.0, "$callsPerSecond calls per second")
     }
 
+    /**
+     * Each host watched on its own, for four seconds at a time the configuration and for two the registrations; a change ended
+     * these watches of all hosts, on average in the middle.
+     */
+    @ParameterizedTest
+    @CsvSource(
+        "7, 2500, 0",
+        "9, 2500, 0",
+        "12, 2500, 0",
+        "9, 4000, 0",
+        "7, 2500, 20",
+        "9, 2500, 20",
+        "12, 2500, 20",
+        "9, 4000, 20",
+    )
+    fun smallFleetsCallTheStoreNoMoreThanBefore(hostCount: Int, lagMillis: Long, changes: Int) {
+        val fleet = SimulatedStoreFleet(hostCount, lagMillis, SEED)
+        for (change in 0 until changes) {
+            val followed = Followed.entries[change % 2]
+            fleet.at(WARM_UP_MILLIS + CALM_MILLIS * change / changes) { fleet.change(followed) }
+        }
+        fleet.runUntil(WARM_UP_MILLIS)
+        val before = fleet.calls
+        fleet.runUntil(WARM_UP_MILLIS + CALM_MILLIS)
+        val most = hostCount * (CALM_MILLIS / 4_000.0 + CALM_MILLIS / 2_000.0 + changes / 2.0)
+        assertTrue(fleet.calls - before <= most, "${fleet.calls - before} calls, at most $most allowed")
+    }
+
+    /** A store that is back doesn't meet more calls than it allows: 2,000 a second. */
+    @ParameterizedTest
+    @CsvSource("72, 2500", "390, 2500", "390, 4000")
+    fun anOutageIsFollowedByNoBurstOfCalls(hostCount: Int, lagMillis: Long) {
+        val fleet = SimulatedStoreFleet(hostCount, lagMillis, SEED)
+        fleet.at(FAULT_START_MILLIS) { fleet.fail(fleet.hosts, StoreFault.SILENT) }
+        fleet.at(FAULT_START_MILLIS + OUTAGE_MILLIS) { fleet.fail(fleet.hosts, StoreFault.NONE) }
+        val calls = (FAULT_START_MILLIS..FAULT_START_MILLIS + 2 * OUTAGE_MILLIS step 1_000).map { millis ->
+            fleet.runUntil(millis)
+            fleet.calls
+        }
+        val most = calls.zipWithNext { before, after -> after - before }.max()
+        assertTrue(most <= STORE_CALLS_PER_SECOND, "$most calls in a second")
+    }
+
     /** No more than an eighth of a fleet calls the store while the watchers get no response, so that it isn't overloaded. */
     @ParameterizedTest
     @CsvSource("95, 4000", "390, 4000")
@@ -137,5 +180,7 @@
         const val FAULT_END_MILLIS = 27_000L
         const val END_MILLIS = 40_000L
         const val CALM_MILLIS = 60_000L
+        const val OUTAGE_MILLIS = 6_000L
+        const val STORE_CALLS_PER_SECOND = 2_000
     }
 }
--- a/core/src/test/kotlin/buckthornbay/core/membership/LostWatchTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/membership/LostWatchTest.kt
@@ -36,7 +36,7 @@
     fun changesAfterASilentOutageAreInForceInTime() = assertNone(
         FLEETS.flatMap { fleet ->
             OUTAGES_MILLIS.flatMap { outageMillis ->
-                fleet.play(outageMillis, CONTACT_MILLIS) { endMillis ->
+                fleet.play(outageMillis, SimulatedStoreFleet.CONTACT_MILLIS) { endMillis ->
                     hosts.forEach { it.fault = { StoreFault.SILENT } }
                     at(endMillis - LAST_MILLIS) { Followed.entries.forEach(::change) }
                     at(endMillis) { hosts.forEach { it.fault = { StoreFault.NONE } } }
@@ -48,7 +48,7 @@
     /** All connections to the store go silent in one moment, while new ones work. */
     @Test
     fun changesAfterSilentConnectionsAreInForceInTime() =
-        assertNone(FLEETS.flatMap { it.play(endAfterMillis = 0, CONTACT_MILLIS) { loseCalls() } })
+        assertNone(FLEETS.flatMap { it.play(endAfterMillis = 0, SimulatedStoreFleet.CONTACT_MILLIS) { loseCalls() } })
 
     /** Watches that wait while the history is dropped are told so only when their wait is over. No time of grace follows. */
     @Test
@@ -73,9 +73,6 @@
         /** Time before the end of an outage at which the last change of the outage is acknowledged, in milliseconds. */
         const val LAST_MILLIS = 50L
 
-        /** Time for which a host must have been in contact with the store before a late change counts, in milliseconds. */
-        const val CONTACT_MILLIS = 3_000L
-
         /** Time for which the store tells waiting watches nothing before it cuts them, in milliseconds. */
         const val DEAF_MILLIS = 1_200L
     }
--- a/core/src/test/kotlin/buckthornbay/core/membership/SimulatedStoreFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/membership/SimulatedStoreFleet.kt
@@ -1,6 +1,7 @@
 package buckthornbay.core.membership
 
 import buckthornbay.protocol.HostId
+import org.apache.commons.rng.simple.RandomSource
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -44,12 +45,18 @@
             collections.getValue(Followed.REGISTRATIONS),
         )
         private val schedules = Followed.entries.associateWith {
-            StoreCallSchedule(id, collections.getValue(it), lagMillis, LONG_POLL_MILLIS.getValue(it))
+            val times = StoreCallTimes(ChangeLimits(lagMillis, CONTACT_MILLIS))
+            val batchMillis = if (it == Followed.REGISTRATIONS) BATCH_MILLIS else 0
+            StoreCallSchedule(id, collections.getValue(it), times, scheduleRandom, batchMillis)
         }
+        private val decisions = Followed.entries.associateWith { 0 }.toMutableMap()
+        private val underWay = HashSet<PendingStoreCall>()
         private var fetching = false
 
         fun version(followed: Followed): Long = versions.getValue(followed)
 
+        fun ageMillis(followed: Followed): Long = collections.getValue(followed).ageMillis(ownMillis)
+
         private fun apply(followed: Followed, version: Long) {
             if (version <= version(followed)) return
             for (applied in version(followed) + 1..version) appliedAtMillis.getValue(followed)[applied] = nowMillis
@@ -57,79 +64,82 @@
             (hosts - this).shuffled(random).take(ANNOUNCE_FAN_OUT).forEach { heartbeat(it) }
         }
 
-        fun follow(followed: Followed, failures: Int = 0) {
-            if (isFrozen) return at(frozenUntilMillis) { follow(followed, failures) }
-            when (val call = schedules.getValue(followed).next(ownMillis, liveHosts(), version(followed) > 0)) {
-                is StoreCall.Delegate -> after(call.millis) { follow(followed) }
-                is StoreCall.ListAll -> call(followed, failures, 0) { true }
-                is StoreCall.Watch -> call(followed, failures, call.waitMillis) { newestRevision(followed) > call.revision }
+        /** Decides what to do next; a later decision replaces the waiting of an earlier one. */
+        fun follow(followed: Followed) {
+            if (isFrozen) return at(frozenUntilMillis) { follow(followed) }
+            val decision = decisions.getValue(followed) + 1
+            decisions[followed] = decision
+            when (val step = schedules.getValue(followed).next(ownMillis, liveHosts(), version(followed) > 0)) {
+                is StoreStep.Wait -> after(step.millis) { if (decisions.getValue(followed) == decision) follow(followed) }
+                is StoreStep.Send -> {
+                    step.givenUp?.let(underWay::remove)
+                    underWay += step.call
+                    calls++
+                    poll(Poll(followed, step.call))
+                    follow(followed)
+                }
             }
         }
 
-        private fun call(followed: Followed, failures: Int, waitMillis: Long, isAnswered: () -> Boolean) {
-            calls++
+        private inner class Poll(val followed: Followed, val pending: PendingStoreCall) {
             val sentAtMillis = nowMillis
-            val deadlineMillis = nowMillis + waitMillis + CALL_TIMEOUT_MILLIS
-            if (fault(followed) == StoreFault.SILENT) return at(deadlineMillis) { retry(followed, failures) }
-            if (fault(followed) == StoreFault.REJECTED) return after(responseMillis) { retry(followed, failures) }
-            val revision = schedules.getValue(followed).knowledge.revision.takeIf { waitMillis > 0 }
-            poll(Poll(followed, failures, sentAtMillis, waitMillis, deadlineMillis, revision, isAnswered))
-        }
-
-        private inner class Poll(
-            val followed: Followed,
-            val failures: Int,
-            val sentAtMillis: Long,
-            val waitMillis: Long,
-            val deadlineMillis: Long,
-            /** The revision that a watch continues from, or null for a list. */
-            val fromRevision: Long?,
-            val isAnswered: () -> Boolean,
-        ) {
-            val isWaitOver: Boolean get() = nowMillis >= sentAtMillis + waitMillis
+            val watch: StoreCall.Watch? = pending.call as? StoreCall.Watch
+            private val waitMillis: Long = watch?.waitMillis ?: 0
+            val waitEndMillis = sentAtMillis + waitMillis
+            val deadlineMillis = waitEndMillis + CALL_TIMEOUT_MILLIS
+
+            val isLost: Boolean get() = fault(followed) == StoreFault.SILENT || sentAtMillis < callsLostBeforeMillis
+            val isCut: Boolean get() = watch != null && sentAtMillis < watchesCutAtMillis && nowMillis >= watchesCutAtMillis
+
+            /** Whether the store tells this watch of nothing, because the history after its revision goes or is gone. */
+            val isDeaf: Boolean get() = watch != null && (nowMillis < deafUntilMillis || watch.revision < oldestRevision)
+            val hasNews: Boolean get() = watch == null || newestRevision(followed) > watch.revision
+            val isAnswered: Boolean get() = hasNews || nowMillis >= waitEndMillis
         }
 
         private fun poll(poll: Poll): Unit = when {
-            fault(poll.followed) == StoreFault.SILENT || poll.sentAtMillis < callsLostBeforeMillis ->
-                at(poll.deadlineMillis) { retry(poll.followed, poll.failures) }
-            fault(poll.followed) == StoreFault.REJECTED -> after(responseMillis) { retry(poll.followed, poll.failures) }
-            poll.fromRevision != null && poll.sentAtMillis < watchesCutBeforeMillis && nowMillis >= watchesCutBeforeMillis ->
-                after(responseMillis) { retry(poll.followed, poll.failures) }
-            poll.fromRevision != null && (nowMillis < deafUntilMillis || poll.fromRevision < oldestRevision) -> {
-                // A watch that already waits is told that the history is gone when its wait is over; if that is before, never.
-                val toldAtMillis = if (poll.sentAtMillis >= deafUntilMillis) nowMillis else poll.sentAtMillis + poll.waitMillis
-                when {
-                    nowMillis < deafUntilMillis || nowMillis < toldAtMillis -> after(POLL_MILLIS) { poll(poll) }
-                    toldAtMillis >= deafUntilMillis -> after(responseMillis) { relist(poll.followed) }
-                    else -> at(poll.deadlineMillis) { retry(poll.followed, poll.failures) }
-                }
-            }
-            poll.isAnswered() || poll.isWaitOver -> {
+            poll.pending !in underWay -> Unit
+            poll.isLost -> at(poll.deadlineMillis) { fail(poll) }
+            fault(poll.followed) == StoreFault.REJECTED || poll.isCut -> after(responseMillis) { fail(poll) }
+            poll.isDeaf -> pollDeaf(poll)
+            poll.isAnswered -> {
                 val revision = storeRevision
                 val version = newestVersion(poll.followed)
-                val isChanged = poll.isAnswered()
-                after(responseMillis) { receive(poll, revision, version, isChanged) }
+                val changed = poll.hasNews
+                after(responseMillis) { receive(poll, revision, version, changed) }
             }
             else -> after(POLL_MILLIS) { poll(poll) }
         }
 
-        private fun relist(followed: Followed) {
-            schedules.getValue(followed).knowledge.forgetRevision()
-            follow(followed)
+        /** A watch that already waits is told that the history is gone when its wait is over; if that is before, never. */
+        private fun pollDeaf(poll: Poll) {
+            val toldAtMillis = if (poll.sentAtMillis >= deafUntilMillis) nowMillis else poll.waitEndMillis
+            when {
+                nowMillis < deafUntilMillis || nowMillis < toldAtMillis -> after(POLL_MILLIS) { poll(poll) }
+                toldAtMillis >= deafUntilMillis -> after(responseMillis) { relist(poll) }
+                else -> at(poll.deadlineMillis) { fail(poll) }
+            }
         }
 
-        private fun receive(poll: Poll, revision: Long, version: Long, isChanged: Boolean) {
-            if (isFrozen) return at(frozenUntilMillis) { receive(poll, revision, version, isChanged) }
+        private fun receive(poll: Poll, revision: Long, version: Long, changed: Boolean) {
+            if (isFrozen) return at(frozenUntilMillis) { receive(poll, revision, version, changed) }
+            if (!underWay.remove(poll.pending)) return
             apply(poll.followed, version)
-            val answeredAtMillis = minOf(ownMillis, poll.sentAtMillis + clockOffsetMillis + poll.waitMillis)
-            schedules.getValue(poll.followed).recordResponse(answeredAtMillis, revision, isChanged)
+            underWay -= schedules.getValue(poll.followed).answered(ownMillis, poll.pending, revision, changed).toSet()
             exchangeTargets(this).forEach(::exchange)
             follow(poll.followed)
         }
 
-        private fun retry(followed: Followed, failures: Int) {
-            val upperMillis = (FIRST_BACKOFF_MILLIS shl failures.coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(MAX_BACKOFF_MILLIS)
-            after(upperMillis / 2 + random.nextLong(upperMillis / 2)) { follow(followed, failures + 1) }
+        private fun relist(poll: Poll) {
+            if (!underWay.remove(poll.pending)) return
+            underWay -= schedules.getValue(poll.followed).historyGone(poll.pending).toSet()
+            follow(poll.followed)
+        }
+
+        private fun fail(poll: Poll) {
+            if (!underWay.remove(poll.pending)) return
+            schedules.getValue(poll.followed).failed(ownMillis, poll.pending)
+            follow(poll.followed)
         }
 
         /** Sends a heartbeat to [peer], whose reply states what it knows. */
@@ -172,13 +182,14 @@
     }
 
     private val random = Random(seed)
+    private val scheduleRandom = RandomSource.SPLIT_MIX_64.create(seed)
     private val events = PriorityQueue(compareBy<Event>({ it.atMillis }, { it.sequence }))
     private var sequence = 0
     private val history = ArrayList<Change>()
     private var storeRevision = 1L
     private var oldestRevision = 0L
     private var callsLostBeforeMillis = Long.MIN_VALUE
-    private var watchesCutBeforeMillis = Long.MIN_VALUE
+    private var watchesCutAtMillis = Long.MIN_VALUE
     private var deafUntilMillis = Long.MIN_VALUE
 
     var nowMillis = 0L
@@ -219,8 +230,8 @@
 
     /** Lets watches hear of no change for [deafMillis], then cuts them, and drops the history shortly after that. */
     fun dropHistory(deafMillis: Long) {
-        watchesCutBeforeMillis = nowMillis + deafMillis
-        deafUntilMillis = watchesCutBeforeMillis + DROP_DELAY_MILLIS
+        watchesCutAtMillis = nowMillis + deafMillis
+        deafUntilMillis = watchesCutAtMillis + DROP_DELAY_MILLIS
         at(deafUntilMillis) { oldestRevision = storeRevision }
     }
 
@@ -243,21 +254,21 @@
      * Returns the changes from [sinceMillis] on that [judged] hosts applied later than the allowed lag, or not yet; changes that
      * must be applied by [noSoonerMillis] or before are not late until then.
      */
-    fun lateChanges(
-        sinceMillis: Long,
-        noSoonerMillis: Long = Long.MIN_VALUE,
-        judged: (Host) -> Boolean,
-    ): List<LateChange> = Followed.entries.flatMap { followed ->
-        val changes = history.filter { it.followed == followed }
-        changes.flatMapIndexed { index, change ->
-            val limitMillis = maxOf(change.atMillis + lagMillis, noSoonerMillis)
-            if (change.atMillis < sinceMillis || limitMillis > nowMillis) return@flatMapIndexed emptyList()
-            hosts.filter(judged).mapNotNull { host ->
-                val appliedAtMillis = host.appliedAtMillis.getValue(followed)[index + 1L] ?: nowMillis
-                LateChange(host.id, followed, index + 1L, appliedAtMillis - change.atMillis).takeIf { appliedAtMillis > limitMillis }
+    fun lateChanges(sinceMillis: Long, noSoonerMillis: Long = Long.MIN_VALUE, judged: (Host) -> Boolean): List<LateChange> =
+        Followed.entries.flatMap { followed ->
+            val changes = history.filter { it.followed == followed }
+            changes.flatMapIndexed { index, change ->
+                val limitMillis = maxOf(change.atMillis + lagMillis, noSoonerMillis)
+                if (change.atMillis < sinceMillis || limitMillis > nowMillis) return@flatMapIndexed emptyList()
+                hosts.filter(judged).mapNotNull { host ->
+                    val appliedAtMillis = host.appliedAtMillis.getValue(followed)[index + 1L] ?: nowMillis
+                    LateChange(host.id, followed, index + 1L, appliedAtMillis - change.atMillis).takeIf {
+                        appliedAtMillis >
+                            limitMillis
+                    }
+                }
             }
         }
-    }
 
     private fun repeatAt(millis: Long, periodMillis: Long, action: () -> Unit): Unit = at(millis) {
         action()
@@ -289,7 +300,9 @@
         /** Duration of a freeze, in milliseconds. */
         const val FREEZE_MILLIS = 8_000L
 
-        private val LONG_POLL_MILLIS = mapOf(Followed.CONFIGURATION to 4_000L, Followed.REGISTRATIONS to 2_000L)
+        /** Time after a failure of the store from which on changes must be applied in time again, in milliseconds. */
+        const val CONTACT_MILLIS = 3_000L
+
         private const val ZONES = 6
 
         /** Time from the end of the watches until the history is dropped, in milliseconds. */
@@ -303,8 +316,6 @@
         private const val EXCHANGE_MILLIS = 400L
         private const val ANNOUNCE_FAN_OUT = 3
         private const val DEAD_AFTER_MILLIS = 2_100L
-        private const val FIRST_BACKOFF_MILLIS = 40L
-        private const val MAX_DOUBLINGS = 5
-        private const val MAX_BACKOFF_MILLIS = 600L
+        private const val BATCH_MILLIS = 250L
     }
 }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/FleetView.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/FleetView.kt
@@ -68,9 +68,9 @@
         onChange()
     }
 
-    /** Applies [changes] to the list of upstreams, which then has [revision]. */
+    /** Applies [changes] to the list of upstreams, which then has [revision]; ignores changes up to an older revision. */
     fun applyRegistrations(changes: List<CollectionChange>, revision: Long) {
-        if (changes.isEmpty()) return
+        if (changes.isEmpty() || revision < registry.revision) return
         changes.forEach { apply(it, revision) }
         onChange()
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewaySettings.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewaySettings.kt
@@ -68,6 +68,8 @@
  * milliseconds.
  * @property drainMillis time from the acknowledgement that an upstream drains or is gone until no host sends it requests, in
  * milliseconds.
+ * @property contactMillis time after a failure of the store, or of the connections to it, from which on all hosts must be up to
+ * date again, in milliseconds.
  */
 @Serializable
 public data class BoundSettings(
@@ -78,6 +80,7 @@
     public val shareWindowSeconds: Double,
     public val configurationMillis: Long = 2_500,
     public val drainMillis: Long = 2_500,
+    public val contactMillis: Long = 3_000,
 )
 
 /** Reads the settings from TOML; returns the settings, or all problems found, with line numbers where they are known. */
@@ -90,8 +93,8 @@
         "graceSeconds, retryWindowSeconds and shareWindowSeconds must be above 0".takeIf {
             settings.bounds.run { graceSeconds <= 0 || retryWindowSeconds <= 0 || shareWindowSeconds <= 0 }
         },
-        "configurationMillis and drainMillis must be at least $MIN_LAG_MILLIS".takeIf {
-            settings.bounds.run { minOf(configurationMillis, drainMillis) < MIN_LAG_MILLIS }
+        "configurationMillis, drainMillis and contactMillis must be at least $MIN_LAG_MILLIS".takeIf {
+            settings.bounds.run { minOf(configurationMillis, drainMillis, contactMillis) < MIN_LAG_MILLIS }
         },
         "retryRatio and retrySlack must not be negative".takeIf { settings.bounds.run { retryRatio < 0 || retrySlack < 0 } },
     )
--- a/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/NettyTransport.kt
@@ -22,10 +22,15 @@
 internal class NettyTransport(private val pool: ConnectionPool) : HttpTransport {
     override suspend fun call(address: String, call: HttpCall, timeoutMillis: Long): Result<HttpReply, HttpFailure> {
         val exchange = Exchange()
-        pool.acquire(address, ConnectionReuse.Recent(MAX_IDLE_MILLIS)) { exchange.begin(it, request(address, call)) }
-        val result = withTimeoutOrNull(timeoutMillis) { exchange.reply.await() }
+        val reuse = if (call.onNewConnection) ConnectionReuse.None else ConnectionReuse.Recent(MAX_IDLE_MILLIS)
+        pool.acquire(address, reuse) { exchange.begin(it, request(address, call)) }
+        val result = try {
+            withTimeoutOrNull(timeoutMillis) { exchange.reply.await() }
+        } finally {
+            // The call has timed out, or its caller doesn't wait any more.
+            if (!exchange.reply.isCompleted) exchange.cancel()
+        }
         if (result != null) return result
-        exchange.cancel()
         return Err(HttpFailure.ResponseLost("no answer from $address within $timeoutMillis ms"))
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -1,10 +1,14 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
+import buckthornbay.core.membership.ChangeLimits
 import buckthornbay.core.membership.CollectionKnowledge
+import buckthornbay.core.membership.PendingStoreCall
 import buckthornbay.core.membership.StoreCall
 import buckthornbay.core.membership.StoreCallSchedule
+import buckthornbay.core.membership.StoreCallTimes
 import buckthornbay.core.membership.StoreKnowledge
+import buckthornbay.core.membership.StoreStep
 import buckthornbay.core.membership.watchesStore
 import buckthornbay.core.registry.UpstreamRegistry
 import buckthornbay.core.wire.FleetFormat
@@ -15,13 +19,15 @@
 import buckthornbay.store.ObjectCollections
 import buckthornbay.store.StoreError
 import com.github.michaelbull.result.Result
-import com.github.michaelbull.result.getError
-import com.github.michaelbull.result.map
 import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.delay
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.apache.commons.rng.UniformRandomProvider
-import kotlin.time.Duration.Companion.milliseconds
 
 /** What this host knows of the store, and the hosts with which it shares the calls. */
 internal class StoreAccess(
@@ -32,6 +38,17 @@
 ) {
     /** Returns whether this host watches the store for the others. */
     fun isWatcher(): Boolean = watchesStore(self, liveHosts())
+
+    /** Returns the schedule of this host's calls for [collection], whose changes must be applied within [lagMillis]. */
+    fun schedule(
+        collection: CollectionKnowledge,
+        lagMillis: Long,
+        random: UniformRandomProvider,
+        batchMillis: Long = 0,
+    ): StoreCallSchedule {
+        val times = StoreCallTimes(ChangeLimits(lagMillis, bounds.contactMillis))
+        return StoreCallSchedule(self, collection, times, random, batchMillis)
+    }
 }
 
 /**
@@ -55,59 +72,115 @@
     fun start(scope: CoroutineScope) {
         val configuration = WatchedConfiguration()
         val registrations = WatchedRegistrations()
-        scope.launchLoop("watch of the configuration", log) { keepInSync(configuration) }
-        scope.launchLoop("watch of the registrations", log) { keepInSync(registrations) }
+        scope.launchLoop("watch of the configuration", log) { configuration.keepInSync() }
+        scope.launchLoop("watch of the registrations", log) { registrations.keepInSync() }
     }
 
     /** A collection of the store that is kept in sync. */
     private abstract inner class WatchedCollection(val kind: String, private val schedule: StoreCallSchedule) {
-        val knowledge: CollectionKnowledge get() = schedule.knowledge
+        private val knowledge: CollectionKnowledge get() = schedule.knowledge
+        private val jobs = HashMap<PendingStoreCall, Job>()
+        private val ended = Channel<Unit>(Channel.CONFLATED)
         private var lostAtMillis: Long? = null
 
         /** Whether this host has received any object of this kind. */
-        abstract val isKnown: Boolean
+        protected abstract val isKnown: Boolean
+
+        protected abstract fun apply(snapshot: CollectionSnapshot)
+
+        protected abstract fun apply(changes: CollectionChanges)
+
+        protected open fun storeLost() = Unit
 
-        /** Delay after a change before the next watch call, in milliseconds, in which further changes accumulate. */
-        abstract val batchMillis: Long
+        protected open fun storeRegained() = Unit
+
+        /** Sends the calls of the schedule, several at once if need be, until it is cancelled or one of them throws. */
+        suspend fun keepInSync() = coroutineScope {
+            jobs.clear()
+            // A restart of this loop lists anew, since the changes at which it ended may end it again.
+            schedule.restart()
+            while (true) {
+                when (val step = nextStep()) {
+                    is StoreStep.Wait -> withTimeoutOrNull(step.millis) { ended.receive() }
+                    is StoreStep.Send -> {
+                        step.givenUp?.let(::giveUp)
+                        jobs[step.call] = launch { perform(step.call) }
+                    }
+                }
+            }
+        }
 
-        fun nextCall(): StoreCall {
+        private fun nextStep(): StoreStep {
+            noteRegained()
+            val nowMillis = clock.nowMillis()
             val tookOver = schedule.takesOver
-            val ageMillis = knowledge.ageMillis(clock.nowMillis())
-            val call = schedule.next(clock.nowMillis(), access.liveHosts(), isKnown)
+            val step = schedule.next(nowMillis, access.liveHosts(), isKnown)
             val takesOver = schedule.takesOver && !tookOver && isKnown
-            if (takesOver) log.stateChange("event=store_taken_over kind=$kind age_ms=$ageMillis")
-            return call
+            if (takesOver) log.stateChange("event=store_taken_over kind=$kind age_ms=${knowledge.ageMillis(nowMillis)}")
+            return step
         }
 
-        fun onSnapshot(atMillis: Long, snapshot: CollectionSnapshot) {
-            log.stateChange("event=store_listed ${fields(atMillis)} revision=${snapshot.revision}")
-            apply(snapshot)
-            confirm(atMillis, snapshot.revision, changed = true)
+        private suspend fun perform(pending: PendingStoreCall) {
+            when (val call = pending.call) {
+                is StoreCall.ListAll -> store.list(kind, pending.onNewConnection).onSuccess { snapshot ->
+                    log.stateChange("event=store_listed ${fields(pending)} revision=${snapshot.revision}")
+                    apply(snapshot)
+                    recordResponse(pending, snapshot.revision, changed = true)
+                }
+                is StoreCall.Watch -> watch(pending, call).onSuccess { changes ->
+                    val count = changes.changes.size
+                    if (count > 0) {
+                        log.stateChange("event=store_changed ${fields(pending)} changes=$count revision=${changes.revision}")
+                    }
+                    apply(changes)
+                    recordResponse(pending, changes.revision, changed = count > 0)
+                }
+            }.onFailure { recordFailure(pending, it) }
+            jobs.remove(pending)
+            ended.trySend(Unit)
+        }
+
+        private suspend fun watch(pending: PendingStoreCall, call: StoreCall.Watch): Result<CollectionChanges, StoreError> =
+            store.watch(kind, call.revision, call.waitMillis, pending.onNewConnection)
+
+        private fun recordResponse(pending: PendingStoreCall, revision: Long, changed: Boolean) {
+            cancel(schedule.answered(clock.nowMillis(), pending, revision, changed))
+            noteRegained()
+            onResponse()
         }
 
-        fun onChanges(sentAtMillis: Long, atMillis: Long, changes: CollectionChanges) {
-            val count = changes.changes.size
-            if (count > 0) {
-                log.stateChange("event=store_changed ${fields(sentAtMillis)} changes=$count revision=${changes.revision}")
+        private fun recordFailure(pending: PendingStoreCall, error: StoreError) {
+            if (error == StoreError.HistoryGone) {
+                log.stateChange("event=store_history_gone ${fields(pending)} revision=${knowledge.revision}")
+                cancel(schedule.historyGone(pending))
+                return
             }
-            apply(changes)
-            confirm(atMillis, changes.revision, count > 0)
+            schedule.failed(clock.nowMillis(), pending, (error as? StoreError.RateLimited)?.retryAfterMillis ?: 0)
+            recordLost(pending, error.toString())
         }
 
-        /** Returns the log fields of a call that was sent at [sentAtMillis] and has ended now. */
-        fun fields(sentAtMillis: Long): String {
-            val nowMillis = clock.nowMillis()
-            return "kind=$kind call_ms=${nowMillis - sentAtMillis} age_ms=${knowledge.ageMillis(nowMillis)}"
+        /** Ends [pending], which got no response for so long that another call takes its place. */
+        private fun giveUp(pending: PendingStoreCall) {
+            recordLost(pending, "no response")
+            cancel(listOf(pending))
         }
 
-        private fun confirm(atMillis: Long, revision: Long, changed: Boolean) {
-            schedule.recordResponse(atMillis, revision, changed)
-            noteRegained()
-            onResponse()
+        /**
+         * Records that [pending] failed. A watch that failed says nothing about the store, which may cut it off at any time; the
+         * check that follows does.
+         */
+        private fun recordLost(pending: PendingStoreCall, reason: String) {
+            if (!pending.isCheck) {
+                log.stateChange("event=store_watch_lost ${fields(pending)} reason=\"$reason\"")
+                return
+            }
+            if (lostAtMillis == null) log.warning("event=store_lost ${fields(pending)} reason=\"$reason\"")
+            lostAtMillis = clock.nowMillis()
+            storeLost()
         }
 
         /** Records that the store is reachable again once a response or a peer has confirmed the knowledge since the failure. */
-        fun noteRegained() {
+        private fun noteRegained() {
             val lost = lostAtMillis ?: return
             if (knowledge.confirmedAtMillis < lost) return
             lostAtMillis = null
@@ -115,77 +188,21 @@
             storeRegained()
         }
 
-        fun recordFailure(sentAtMillis: Long, error: StoreError) {
-            if (lostAtMillis == null) log.warning("event=store_lost ${fields(sentAtMillis)} reason=\"$error\"")
-            lostAtMillis = clock.nowMillis()
-            storeLost()
-        }
-
-        protected abstract fun apply(snapshot: CollectionSnapshot)
-
-        protected abstract fun apply(changes: CollectionChanges)
-
-        protected open fun storeLost() = Unit
-
-        protected open fun storeRegained() = Unit
-    }
-
-    private suspend fun keepInSync(watched: WatchedCollection) {
-        // A restart of this loop lists anew, since the changes at which it ended may end it again.
-        watched.knowledge.forgetRevision()
-        var failures = 0
-        while (true) {
-            val result = when (val call = watched.nextCall()) {
-                is StoreCall.Delegate -> {
-                    failures = 0
-                    watched.noteRegained()
-                    delay(call.millis.milliseconds)
-                    continue
-                }
-                is StoreCall.ListAll -> list(watched)
-                is StoreCall.Watch -> watch(watched, call)
-            }
-            failures = if (result.isOk) 0 else failures + 1
-            if (failures > 0 && result.getError() != StoreError.HistoryGone) delay(backoffMillis(failures).milliseconds)
-        }
-    }
+        private fun cancel(calls: List<PendingStoreCall>) = calls.forEach { jobs.remove(it)?.cancel() }
 
-    private suspend fun list(watched: WatchedCollection): Result<Unit, StoreError> {
-        val sentAtMillis = clock.nowMillis()
-        return store.list(watched.kind).onFailure { watched.recordFailure(sentAtMillis, it) }.map { watched.onSnapshot(sentAtMillis, it) }
-    }
-
-    private suspend fun watch(watched: WatchedCollection, call: StoreCall.Watch): Result<Unit, StoreError> {
-        val sentAtMillis = clock.nowMillis()
-        val result = store.watch(watched.kind, call.revision, call.waitMillis)
-        // The store answers when the wait is over; a response that took longer describes an earlier state.
-        val answeredAtMillis = minOf(clock.nowMillis(), sentAtMillis + call.waitMillis)
-        return result.onFailure { recordFailure(watched, sentAtMillis, it, call.revision) }.map { changes ->
-            watched.onChanges(sentAtMillis, answeredAtMillis, changes)
-            if (changes.changes.isNotEmpty()) delay(watched.batchMillis.milliseconds)
+        /** Returns the log fields of a call that has ended. */
+        private fun fields(pending: PendingStoreCall): String {
+            val nowMillis = clock.nowMillis()
+            return "kind=$kind call_ms=${nowMillis - pending.sentAtMillis} age_ms=${knowledge.ageMillis(nowMillis)}"
         }
     }
 
-    private fun recordFailure(watched: WatchedCollection, sentAtMillis: Long, error: StoreError, revision: Long) {
-        if (error != StoreError.HistoryGone) return watched.recordFailure(sentAtMillis, error)
-        log.stateChange("event=store_history_gone ${watched.fields(sentAtMillis)} revision=$revision")
-        watched.knowledge.forgetRevision()
-    }
-
-    private fun backoffMillis(failures: Int): Long {
-        val upperMillis = (FIRST_BACKOFF_MILLIS shl (failures - 1).coerceAtMost(MAX_DOUBLINGS)).coerceAtMost(MAX_BACKOFF_MILLIS)
-        return upperMillis / 2 + (random.nextDouble() * upperMillis / 2).toLong()
-    }
-
     private inner class WatchedConfiguration :
         WatchedCollection(
             format.configurationKind,
-            access.run {
-                StoreCallSchedule(self, knowledge.configuration, bounds.configurationMillis, CONFIGURATION_WATCH_MILLIS)
-            },
+            access.run { schedule(knowledge.configuration, bounds.configurationMillis, random) },
         ) {
         override val isKnown: Boolean get() = fleetView.configurationVersion > 0
-        override val batchMillis = 0L
 
         override fun apply(snapshot: CollectionSnapshot) = snapshot.objects.filter {
             it.name == format.configurationName
@@ -201,10 +218,9 @@
     private inner class WatchedRegistrations :
         WatchedCollection(
             format.registrationsKind,
-            access.run { StoreCallSchedule(self, knowledge.registrations, bounds.drainMillis, REGISTRATIONS_WATCH_MILLIS) },
+            access.run { schedule(knowledge.registrations, bounds.drainMillis, random, BATCH_MILLIS) },
         ) {
         override val isKnown: Boolean get() = fleetView.registryLoaded
-        override val batchMillis = BATCH_MILLIS
 
         override fun apply(snapshot: CollectionSnapshot) =
             fleetView.replaceRegistrations(snapshot.objects, snapshot.revision, STORE)
@@ -219,27 +235,7 @@
     private companion object {
         const val STORE = "store"
 
-        /**
-         * Long-poll time of the configuration's watch, in milliseconds; long because the store charges for each call. With the
-         * time for the response, a watch that was lost in an outage still ends early enough for a change to be applied within
-         * 5.5 s after the end of the outage.
-         */
-        const val CONFIGURATION_WATCH_MILLIS = 4_000L
-
-        /**
-         * The same for registrations, in milliseconds; shorter, because an upstream whose registration is gone stays in use for
-         * the grace period after the store has recovered.
-         */
-        const val REGISTRATIONS_WATCH_MILLIS = 2_000L
-
         /** Batching delay after changes of registrations, in milliseconds; upstreams that start together cost one call. */
         const val BATCH_MILLIS = 250L
-
-        /** Initial backoff after a failed call, in milliseconds; ten times the usual response time of the store. */
-        const val FIRST_BACKOFF_MILLIS = 40L
-        const val MAX_DOUBLINGS = 5
-
-        /** Longest backoff, in milliseconds; a recovered store is noticed well within the time limit for applying changes. */
-        const val MAX_BACKOFF_MILLIS = 600L
     }
 }
--- a/store/src/main/kotlin/buckthornbay/store/HttpTransport.kt
+++ b/store/src/main/kotlin/buckthornbay/store/HttpTransport.kt
@@ -2,12 +2,18 @@
 
 import com.github.michaelbull.result.Result
 
-/** An HTTP request with an optional JSON body; [target] is the path and the query. */
+/**
+ * An HTTP request with an optional JSON body.
+ *
+ * @property target path and query.
+ * @property onNewConnection whether the request needs a connection of its own, because open ones may have gone silent.
+ */
 public data class HttpCall(
     public val method: String,
     public val target: String,
     public val body: String? = null,
     public val headers: Map<String, String> = emptyMap(),
+    public val onNewConnection: Boolean = false,
 )
 
 /** The response to an [HttpCall]. */
--- a/store/src/main/kotlin/buckthornbay/store/ObjectCollections.kt
+++ b/store/src/main/kotlin/buckthornbay/store/ObjectCollections.kt
@@ -21,13 +21,22 @@
 /** The changes of a collection up to [revision], oldest first; empty if nothing changed before the watch timed out. */
 public data class CollectionChanges(public val changes: List<CollectionChange>, public val revision: Long)
 
-/** Collections of named objects in the platform's store, which can be listed and watched, one per kind. */
+/**
+ * Collections of named objects in the platform's store, which can be listed and watched, one per kind.
+ *
+ * Calls that need a connection of their own, because open ones may have gone silent, set `onNewConnection`.
+ */
 public interface ObjectCollections {
     /** Lists all objects of [kind]; each is at least as recent as the returned revision. */
-    public suspend fun list(kind: String): Result<CollectionSnapshot, StoreError>
+    public suspend fun list(kind: String, onNewConnection: Boolean = false): Result<CollectionSnapshot, StoreError>
 
     /** Waits up to [waitMillis] for changes of [kind] since [revision]. */
-    public suspend fun watch(kind: String, revision: Long, waitMillis: Long): Result<CollectionChanges, StoreError>
+    public suspend fun watch(
+        kind: String,
+        revision: Long,
+        waitMillis: Long,
+        onNewConnection: Boolean = false,
+    ): Result<CollectionChanges, StoreError>
 
     /** Creates the object [name] of [kind], or replaces its value if it exists. */
     public suspend fun put(kind: String, name: String, value: JsonElement): Result<Unit, StoreError>
