Give up lost watches of the desired state within seconds on the own interface too

A watch now waits for 2 s and the backoff ends at 1 to 2 s, so that a configuration is in force within 5 s. The watchers make one call in 2 s more; each host already read the host list once a second.

--- a/router/src/main/kotlin/buckthornbay/router/StateWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/StateWatcher.kt
@@ -62,9 +62,15 @@
     }
 
     private companion object {
-        const val WATCH_MILLIS = 20_000L
+        /**
+         * Wait of a watch, in milliseconds; with the time limit of a call, a watch whose response was lost ends within the few
+         * seconds in which a configuration must be in force.
+         */
+        const val WATCH_MILLIS = 2_000L
         const val HOST_LIST_MILLIS = 1_000L
         const val MIN_BACKOFF_MILLIS = 100L
-        const val MAX_BACKOFF_MILLIS = 10_000L
+
+        /** Longest backoff after a failed watch, half of the wait until the next one, in milliseconds. */
+        const val MAX_BACKOFF_MILLIS = 1_000L
     }
 }
--- a/testkit/src/main/kotlin/buckthornbay/testkit/InMemoryObjectStore.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/InMemoryObjectStore.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
@@ -41,6 +42,8 @@
     /** Number of calls received; a watch counts once, however long it waits. */
     public val callCount: AtomicLong = AtomicLong()
 
+    @Volatile
+    private var watchesLost = 0
     private val mutex = Mutex()
     private val objects = MutableStateFlow<Map<String, StoredObject>>(emptyMap())
     private var lastVersion = 0L
@@ -60,12 +63,19 @@
 
     override suspend fun watch(name: String, afterVersion: Long, timeoutMillis: Long): Result<StoredObject?, StoreError> =
         withFaults {
+            val lostBefore = watchesLost
             val newer = withTimeoutOrNull(timeoutMillis) {
                 objects.first { (it[name]?.version ?: 0) > afterVersion }[name]
             }
+            if (watchesLost > lostBefore) awaitCancellation()
             Ok(newer)
         }
 
+    /** Loses the responses to all watches that are under way. */
+    public fun loseWatches() {
+        watchesLost++
+    }
+
     override suspend fun read(): Result<List<ListedHost>, StoreError> = withFaults { Ok(hosts) }
 
     private fun consumeLostReply(): Boolean {
