Part watchers of a large fleet that answer in step

In a fleet of 13 hosts on a busy machine, four hosts took over from the watchers every two seconds until the test gave up: the responses to the three watchers came together, and nothing told them so. Each looked for the others' statements when it called again, right after its own response; those about that moment came only then, and later ones were of the hosts that took over.

A watcher now notices it by the age that its knowledge reached between its responses: half of the lag, which it doesn't reach while another watcher is answered in between. Its next wait is then shorter by rank, as after a change.

--- a/core/src/main/kotlin/buckthornbay/core/membership/StoreCallSchedule.kt
+++ b/core/src/main/kotlin/buckthornbay/core/membership/StoreCallSchedule.kt
@@ -78,14 +78,19 @@
     private var resumeAtMillis = Long.MIN_VALUE
     private var lastCallAtMillis = Long.MIN_VALUE
     private var isInStep = true
+
+    /** Oldest age of the knowledge since the last response, in milliseconds. */
+    private var oldestAgeMillis = 0L
     private var rankedHosts: Collection<HostId> = emptyList()
     private var rank = 0
 
     private val hasPendingCheck: Boolean get() = pending.any { it.isCheck }
+    private val isLargeFleet: Boolean get() = rankedHosts.size > settings.smallFleet
 
     /** Returns what to do next, given the [live] hosts and whether this host [isKnown] to have received any object. */
     public fun next(nowMillis: Long, live: Collection<HostId>, isKnown: Boolean): StoreStep {
         updateRank(live)
+        oldestAgeMillis = maxOf(oldestAgeMillis, knowledge.ageMillis(nowMillis))
         if (nowMillis < resumeAtMillis) return wait(resumeAtMillis - nowMillis)
         if (hasPendingCheck && nowMillis < overdueAtMillis) return wait(overdueAtMillis - nowMillis)
         val untilDueMillis = times.dueAgeMillis(rank, live.size) - knowledge.ageMillis(nowMillis)
@@ -109,7 +114,8 @@
     public fun answered(nowMillis: Long, call: PendingStoreCall, revision: Long, changed: Boolean): List<PendingStoreCall> {
         pending.remove(call)
         knowledge.confirm(call.answeredAtMillis(nowMillis), revision)
-        isInStep = changed || failures > 0
+        isInStep = changed || failures > 0 || (isLargeFleet && oldestAgeMillis >= times.inStepAgeMillis)
+        oldestAgeMillis = 0
         failures = 0
         unanswered = 0
         resumeAtMillis = if (changed) nowMillis + batchMillis else nowMillis
@@ -169,7 +175,7 @@
     private fun nextWatchMillis(nowMillis: Long, hostCount: Int): Long {
         val watchMillis = times.watchMillis(hostCount)
         if (rank >= watcherCount(hostCount)) return watchMillis
-        val isAligned = isInStep || (hostCount > settings.smallFleet && isAlignedWithPeer(nowMillis, watchMillis))
+        val isAligned = isInStep || (isLargeFleet && isAlignedWithPeer(nowMillis, watchMillis))
         return if (isAligned) watchMillis * (rank + 1) / watcherCount(hostCount) else watchMillis
     }
 
--- a/core/src/main/kotlin/buckthornbay/core/membership/StoreCallTimes.kt
+++ b/core/src/main/kotlin/buckthornbay/core/membership/StoreCallTimes.kt
@@ -31,6 +31,9 @@
         return partOf(limits.lagMillis, maxOf(part, settings.loneWatchPart)).coerceAtMost(settings.longestWatchMillis)
     }
 
+    /** Age of its knowledge, in milliseconds, by which a watcher notices that the others are answered together with it. */
+    public val inStepAgeMillis: Long get() = partOf(limits.lagMillis, settings.inStepAgePart)
+
     /** Returns the age of its knowledge, in milliseconds, at which the host at [rank] checks for changes itself. */
     public fun dueAgeMillis(rank: Int, hostCount: Int): Long = partOf(limits.lagMillis, dueAgePart(rank, hostCount))
 
@@ -81,6 +84,8 @@
  * @property watchers number of watching hosts in a larger fleet; tolerates two simultaneous failures.
  * @property backups number of hosts that are the first to take over if the watchers fail.
  * @property largeWatchPart wait of a watch in a larger fleet; the watchers' responses come at each third of it.
+ * @property inStepAgePart age that the knowledge of a watcher in a larger fleet reaches between two responses if no other watcher
+ * is answered in between.
  * @property smallSpacingPart time between the responses of two hosts in a small fleet; shorter, because they learn from each
  * other only by their heartbeats.
  * @property loneWatchPart shortest wait of a watch; less than any age at which a host checks for changes.
@@ -104,6 +109,7 @@
     public val watchers: Int = 3,
     public val backups: Int = 4,
     public val largeWatchPart: Double = 0.8,
+    public val inStepAgePart: Double = 0.5,
     public val smallSpacingPart: Double = 0.2,
     public val loneWatchPart: Double = 0.5,
     public val longestWatchMillis: Long = 10_000,
--- a/core/src/test/kotlin/buckthornbay/core/membership/LargeFleetStoreTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/membership/LargeFleetStoreTest.kt
@@ -149,6 +149,24 @@
         assertTrue(most <= STORE_CALLS_PER_SECOND, "$most calls in a second")
     }
 
+    /**
+     * The responses to all watchers arrive in one moment, without a change that would tell them so.
+     *
+     * Guards against watchers that answer in step from then on, so that the backups call in each of the pauses.
+     */
+    @ParameterizedTest
+    @CsvSource("13, 2500", "72, 2500", "95, 4000")
+    fun watchersThatAnswerInStepPartAgain(hostCount: Int, lagMillis: Long) {
+        val fleet = SimulatedStoreFleet(hostCount, lagMillis, SEED)
+        fleet.runUntil(WARM_UP_MILLIS)
+        fleet.hosts.forEach { it.noResponseBeforeMillis = WARM_UP_MILLIS + lagMillis }
+        fleet.runUntil(WARM_UP_MILLIS + lagMillis + PARTING_MILLIS)
+        val before = fleet.calls
+        fleet.runUntil(WARM_UP_MILLIS + lagMillis + PARTING_MILLIS + CALM_MILLIS)
+        val callsPerSecond = (fleet.calls - before) * 1_000.0 / CALM_MILLIS
+        assertTrue(callsPerSecond <= 3.0, "$callsPerSecond calls per second")
+    }
+
     /** No more than an eighth of a fleet calls the store while the watchers get no response, so that it isn't overloaded. */
     @ParameterizedTest
     @CsvSource("95, 4000", "390, 4000")
@@ -181,6 +199,9 @@
         const val END_MILLIS = 40_000L
         const val CALM_MILLIS = 60_000L
         const val OUTAGE_MILLIS = 6_000L
+
+        /** Time within which watchers that answer in step have parted, in milliseconds. */
+        const val PARTING_MILLIS = 10_000L
         const val STORE_CALLS_PER_SECOND = 2_000
     }
 }
--- a/core/src/test/kotlin/buckthornbay/core/membership/SimulatedStoreFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/membership/SimulatedStoreFleet.kt
@@ -31,6 +31,9 @@
         val appliedAtMillis = Followed.entries.associateWith { HashMap<Long, Long>() }
         var fault: (Followed) -> StoreFault = { StoreFault.NONE }
         var responseMillis = STORE_MILLIS
+
+        /** Time before which no response of the store arrives, in milliseconds. */
+        var noResponseBeforeMillis = 0L
         var cutFromPeers = false
         var frozenUntilMillis = 0L
         val isFrozen: Boolean get() = nowMillis < frozenUntilMillis
@@ -106,7 +109,7 @@
                 val revision = storeRevision
                 val version = newestVersion(poll.followed)
                 val changed = poll.hasNews
-                after(responseMillis) { receive(poll, revision, version, changed) }
+                at(maxOf(nowMillis + responseMillis, noResponseBeforeMillis)) { receive(poll, revision, version, changed) }
             }
             else -> after(POLL_MILLIS) { poll(poll) }
         }
