--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -33,6 +33,7 @@
         registry.counter("buckthornbay.upstream.responses.unmarked", "end", end.name.lowercase())
     }
 
+    private val storeCalls = HashMap<String, Counter>()
     private val crashes = registry.counter("buckthornbay.upstream.crashes")
     private val quarantinedParts = MultiGauge.builder("buckthornbay.quarantined.part.age").baseUnit("seconds").register(registry)
 
@@ -44,6 +45,14 @@
             .tag("collection", collection).strongReference(true).register(registry)
     }
 
+    /** Records a call of the store for objects of [kind]: a watch, or a check that the store is to answer at once. */
+    fun storeCalled(kind: String, isCheck: Boolean) {
+        val call = if (isCheck) "check" else "watch"
+        storeCalls.getOrPut("$kind|$call") {
+            registry.counter("buckthornbay.store.calls", "kind", kind, "call", call)
+        }.increment()
+    }
+
     /** Shows the bytes that [budget] counts, and its evictions. */
     fun buffers(budget: BufferBudget) {
         Gauge.builder("buckthornbay.buffered", budget) {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -193,6 +193,7 @@
         settings.listen.run { listOfNotNull(readiness, control, addresses, metrics) }.distinct()
             .forEach { listeners.listen(it, hostHandler) }
         scope.launchLoop("maintenance", log) { runMaintenance() }
+        watcher.onCall = metrics::storeCalled
         watcher.onResponse = peers::passOnStatement
         scope.launch { watcher.start(scope) }
         scope.launch { quarantineStore.read(crashWatch::restore) }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -66,6 +66,9 @@
     private val clock: Clock,
     private val log: DecisionLog,
 ) {
+    /** Called with the kind of objects and whether it is a check, when a call is sent. */
+    var onCall: (kind: String, isCheck: Boolean) -> Unit = { _, _ -> }
+
     /** Called when a response of the store has been applied. */
     var onResponse: () -> Unit = {}
 
@@ -104,6 +107,7 @@
                     is StoreStep.Wait -> withTimeoutOrNull(step.millis) { ended.receive() }
                     is StoreStep.Send -> {
                         step.givenUp?.let(::giveUp)
+                        onCall(kind, step.call.isCheck)
                         jobs[step.call] = launch { perform(step.call) }
                     }
                 }
