--- a/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StoreWatcher.kt
@@ -155,7 +155,8 @@
 
         private fun recordFailure(pending: PendingStoreCall, error: StoreError) {
             if (error == StoreError.HistoryGone) {
-                log.stateChange("event=store_history_gone ${fields(pending)} revision=${knowledge.revision}")
+                val revision = (pending.call as? StoreCall.Watch)?.revision
+                log.stateChange("event=store_history_gone ${fields(pending)} revision=$revision")
                 cancel(schedule.historyGone(pending))
                 return
             }
