--- a/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
@@ -17,6 +17,7 @@
     public val requestedWork: FleetAccounts,
     public val backlog: FleetBacklog,
     public val clock: Clock,
+    public val engineWork: EngineWorkAccounts = EngineWorkAccounts(),
     private val waitingFor: (Long) -> Set<WorkspaceId>,
 ) {
     /** Returns the workspaces that have had a request queued on this host for at least [millis] milliseconds. */
--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -64,26 +64,30 @@
  * The request queues by service, which send to upstreams according to placement and fair queueing.
  *
  * @param candidates upstreams of a service that may get new requests.
- * @param accounts recent work that engines have started, by workspace.
- * @param backlog workspaces with queued requests on other hosts.
+ * @param accounts work by workspace and at the engines, and the workspaces with queued requests on other hosts.
  * @param hostCount number of live hosts of the fleet.
  */
 public class Dispatcher(
     private val candidates: (ServiceId) -> List<Candidate>,
-    private val accounts: FleetAccounts,
-    private val backlog: FleetBacklog,
+    private val accounts: WorkspaceAccounts,
     private val placement: Placement,
     private val clock: Clock,
     private val hostCount: () -> Int = { 1 },
 ) {
     private val queues = HashMap<ServiceId, FairQueue<DispatchedRequest>>()
     private val paces = HashMap<ServiceId, HostPace>()
+
+    /** Requests at engines whose response has not begun, by id. */
+    private val pending = HashMap<String, PendingSend>()
     private var isLargeFleet = false
     private var hostsCountedAtMillis = Long.MIN_VALUE / 2
 
     /** Services whose requests are being sent; requests that fail at once may cause further ones to be placed meanwhile. */
     private val placing = HashSet<ServiceId>()
 
+    /** A request of [tokens] of work that was sent to an engine of [service]. */
+    private class PendingSend(val service: ServiceId, val tokens: Double)
+
     /** Number of queued requests of all services. */
     public val waitingCount: Int get() = queues.values.sumOf { it.size }
 
@@ -128,6 +132,18 @@
         queueFor(request.service).remove(waiting)
     }
 
+    /** Records that the response to the latest attempt of request [id] has begun. */
+    public fun responseStarted(id: String) {
+        val sent = pending.remove(id) ?: return
+        accounts.engineWork.begun(clock.nowMillis(), sent.service, sent.tokens)
+    }
+
+    /** Records that the latest attempt of request [id] has ended. */
+    public fun attemptEnded(id: String) {
+        val sent = pending.remove(id) ?: return
+        accounts.engineWork.dropped(sent.service, sent.tokens)
+    }
+
     /** Sends the queued requests for which an upstream of [service] has room. */
     public fun place(service: ServiceId) {
         val queue = queues[service] ?: return
@@ -193,7 +209,8 @@
     private fun placeOne(request: DispatchedRequest): Boolean {
         val nowMillis = clock.nowMillis()
         val workspace = request.workspaceId
-        if (request.rank != WaitingRank.DUE && workspace != null && backlog.shouldYield(nowMillis, workspace)) return false
+        val mayYield = request.rank != WaitingRank.DUE && workspace != null
+        if (mayYield && accounts.backlog.shouldYield(nowMillis, workspace)) return false
         val usable = candidates(request.service)
         val pace = paceOf(request.service, usable, nowMillis)
         if (pace?.hasRoom(nowMillis) { loadsOf(usable, nowMillis) } == false) return false
@@ -203,7 +220,9 @@
         withdraw(request)
         pace?.sent(choice.cost)
         request.demand?.let { demand ->
-            workspace?.let { accounts.charge(nowMillis, it, demand.workTokens) }
+            workspace?.let { accounts.startedWork.charge(nowMillis, it, demand.workTokens) }
+            accounts.engineWork.sent(request.service, demand.workTokens)
+            pending[request.id] = PendingSend(request.service, demand.workTokens)
             choice.upstream.cache?.recordPrefill(nowMillis, demand)
         }
         request.send(choice)
@@ -226,7 +245,7 @@
     private fun loadsOf(candidates: List<Candidate>, nowMillis: Long): List<UpstreamLoad> =
         candidates.filter { it.usableFromMillis <= nowMillis }.map { it.load }
 
-    private fun queueFor(service: ServiceId) = queues.getOrPut(service) { FairQueue(accounts) }
+    private fun queueFor(service: ServiceId) = queues.getOrPut(service) { FairQueue(accounts.startedWork) }
 
     private companion object {
         /**
--- a/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
@@ -30,6 +30,8 @@
     private val retryAfter = ArrayList<Long?>()
     private var pausedUntilMillis = 0L
     private val startedWork = FleetAccounts(4_000.0)
+    private val accounts =
+        WorkspaceAccounts(startedWork, FleetAccounts(1_200.0), FleetBacklog(startedWork), Clock { nowMillis }) { emptySet() }
     private val upstream = Candidate(
         UpstreamId("engine"),
         region,
@@ -38,7 +40,7 @@
         cache = null,
     ) { pausedUntilMillis }
     private val dispatcher =
-        Dispatcher({ listOf(upstream) }, startedWork, FleetBacklog(startedWork), Placement(region), clock)
+        Dispatcher({ listOf(upstream) }, accounts, Placement(region), clock)
 
     private inner class GatedLoad(private val inner: UpstreamLoad) : UpstreamLoad by inner {
         override fun hasRoom(nowMillis: Long, cost: Double): Boolean = hasRoom && inner.hasRoom(nowMillis, cost)
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -197,7 +197,7 @@
                 PrefixCacheModel(),
             )
         }
-        val dispatcher: Dispatcher = Dispatcher({ candidates }, started, backlog, Placement(self.region), clock) { HOSTS }
+        val dispatcher: Dispatcher = Dispatcher({ candidates }, accounts, Placement(self.region), clock) { HOSTS }
 
         fun start() {
             schedule(random.nextDouble() * EXCHANGE_MILLIS) { exchangeAccounts() }
--- a/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
@@ -7,6 +7,7 @@
 import buckthornbay.core.admission.FleetBacklog
 import buckthornbay.core.admission.QueuedRequest
 import buckthornbay.core.admission.WaitingRank
+import buckthornbay.core.admission.WorkspaceAccounts
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.ServiceId
 import buckthornbay.protocol.UpstreamId
@@ -23,11 +24,13 @@
     private var nowMillis = 0L
     private val sent = ArrayList<Choice>()
     private val startedWork = FleetAccounts(4_000.0)
+    private val accounts =
+        WorkspaceAccounts(startedWork, FleetAccounts(1_200.0), FleetBacklog(startedWork), clock) { emptySet() }
     private var hosts = 72
     private val engines = List(ENGINES) { number ->
         Candidate(UpstreamId("engine-$number"), region, EngineLoad { 1.0 / hosts }, UpstreamReliability(), PrefixCacheModel())
     }
-    private val dispatcher = Dispatcher({ engines }, startedWork, FleetBacklog(startedWork), Placement(region), clock) { hosts }
+    private val dispatcher = Dispatcher({ engines }, accounts, Placement(region), clock) { hosts }
 
     private inner class LargeRequest(override val id: String) : DispatchedRequest {
         override val service: ServiceId = this@HostPaceTest.service
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -348,7 +348,10 @@
 
     private fun recordLoad(head: HttpResponse) {
         val report: LoadReport? = head.headers()[context.callerInterface.headers.load]?.let(context.callerInterface::loadReport)
-        upstream.candidate.load.responseStarted(context.clock.nowMillis(), id, report)
+        val nowMillis = context.clock.nowMillis()
+        upstream.candidate.load.responseStarted(nowMillis, id, report)
+        context.dispatcher.responseStarted(id)
+        if (listener.demand != null) context.metrics.engineBegan(upstream.entry.service, nowMillis - sentAtMillis)
     }
 
     private fun fail(kind: FailureKind, outcome: SendOutcome, reason: String) {
@@ -364,6 +367,7 @@
         body = null
         if (!isHandedOver) memory.release()
         upstream.ended(this, outcome)
+        context.dispatcher.attemptEnded(id)
     }
 
     private companion object {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -2,12 +2,14 @@
 
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.CapacityView
+import buckthornbay.core.admission.EngineWork
 import buckthornbay.core.load.Choice
 import buckthornbay.core.load.RateLimitChange
 import buckthornbay.core.request.ConnectionEnd
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
 import buckthornbay.core.request.ResponseEndDecision
+import buckthornbay.protocol.ServiceId
 import buckthornbay.protocol.UpstreamId
 import io.github.oshai.kotlinlogging.KotlinLogging
 import java.util.Locale
@@ -44,6 +46,7 @@
     fun ended(terms: RequestTerms, times: RequestTimes, reason: String) = logRequestLine {
         "event=ended id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} state=${times.state} " +
             "rank=${terms.rank} elapsed_ms=${times.elapsedMillis} first_event_ms=${times.stream.firstEventMillis} " +
+            "upstream_wait_ms=${times.stream.upstreamWaitMillis} " +
             "longest_pause_ms=${times.stream.longestPauseMillis} reason=\"$reason\""
     }
 
@@ -73,6 +76,13 @@
             "restarted=${end.hasRestarted} broken_together=${end.breaksTogether} reason=\"${decision.reason}\""
     }
 
+    /** Logs what this host has at the engines of [service], and how late the event loop was at most since the last such line. */
+    fun engineWork(service: ServiceId, work: EngineWork, waitingCount: Int, loopDelayMillis: Long) = logger.info {
+        "event=engine_work service=$service pending_tokens=${work.pendingTokens.toLong()} " +
+            "begun_tokens_per_s=${work.begunTokensPerSecond.toLong()} wait_ms=${work.waitMillis?.toLong()} " +
+            "waiting=$waitingCount loop_delay_ms=$loopDelayMillis"
+    }
+
     fun rateLimit(change: RateLimitChange) = logRequestLine {
         "event=rate_limit_stated upstream=${change.upstream} limit_per_s=${change.perSecond}"
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -5,6 +5,7 @@
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
 import buckthornbay.core.request.ResponseEnd
+import buckthornbay.protocol.ServiceId
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
@@ -34,6 +35,7 @@
     }
 
     private val storeCalls = HashMap<String, Counter>()
+    private val eventLoopDelay = registry.timer("buckthornbay.event.loop.delay")
     private val crashes = registry.counter("buckthornbay.upstream.crashes")
     private val quarantinedParts = MultiGauge.builder("buckthornbay.quarantined.part.age").baseUnit("seconds").register(registry)
 
@@ -102,8 +104,18 @@
     fun recordAskedTokens(terms: RequestTerms) = countTokens("asked", terms)
 
     /** Records the tokens of a request that is sent to an engine. */
+    fun recordSentTokens(terms: RequestTerms) = countTokens("sent", terms)
+
+    /** Records the tokens of a request whose response begins. */
     fun recordBegunTokens(terms: RequestTerms) = countTokens("begun", terms)
 
+    /** Records that the response of an engine of [service] has begun [waitedMillis] after the request was sent. */
+    fun engineBegan(service: ServiceId, waitedMillis: Long) =
+        serviceTimer("buckthornbay.engine.first_event", service).record(waitedMillis, TimeUnit.MILLISECONDS)
+
+    /** Records that a task of the event loop ran [lateMillis] after its time. */
+    fun eventLoopDelay(lateMillis: Long) = eventLoopDelay.record(lateMillis, TimeUnit.MILLISECONDS)
+
     /** Records the tokens of a request that is refused. */
     fun recordRefusedTokens(terms: RequestTerms) = countTokens("refused", terms)
 
@@ -118,6 +130,14 @@
     /** Returns all metrics in the Prometheus text format. */
     fun scrape(): String = registry.scrape()
 
+    private fun serviceTimer(name: String, service: ServiceId): Timer = timers.getOrPut("$name|$service") {
+        Timer.builder(name).tag("service", service.value)
+            .publishPercentileHistogram()
+            .minimumExpectedValue(MIN_EXPECTED)
+            .maximumExpectedValue(MAX_EXPECTED)
+            .register(registry)
+    }
+
     private fun timer(name: String, route: String, state: String): Timer = timers.getOrPut("$name|$route|$state") {
         Timer.builder(name).tag("route", route).tag("state", state)
             .publishPercentileHistogram()
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -7,6 +7,7 @@
 import buckthornbay.core.admission.AdmissionPolicy
 import buckthornbay.core.admission.CallerRetryTracker
 import buckthornbay.core.admission.Dispatcher
+import buckthornbay.core.admission.EngineWorkAccounts
 import buckthornbay.core.admission.FairShares
 import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.admission.FleetBacklog
@@ -66,7 +67,13 @@
     private val regions = settings.zones.associate { it.name to it.region }
     private val startedWork = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND)
     private val accounts =
-        WorkspaceAccounts(startedWork, FleetAccounts(DEMAND_DECAY_MILLIS), FleetBacklog(startedWork), clock) {
+        WorkspaceAccounts(
+            startedWork,
+            FleetAccounts(DEMAND_DECAY_MILLIS),
+            FleetBacklog(startedWork),
+            clock,
+            EngineWorkAccounts(),
+        ) {
             context.dispatcher.workspacesWaitingFor(it)
         }
     private val selfMember = Member(settings.host, settings.listen.control, settings.region, settings.zone, incarnation)
@@ -157,6 +164,7 @@
     )
     private val callers = CallerHandler(context) { fleetView.routes }
     private val hostHandler = HostHandler(deployment.callerInterface, context.buffers, ::answerHostRequest)
+    private val loopReport = LoopReport(context)
     private val listeners = Listeners(group, clock)
     private val stopped = CompletableDeferred<Unit>()
 
@@ -164,8 +172,7 @@
         log.versionFields = { "config_version=${fleetView.configurationVersion} registry_revision=${fleetView.registryRevision}" }
         context.dispatcher = Dispatcher(
             upstreams::candidates,
-            startedWork,
-            accounts.backlog,
+            accounts,
             Placement(settings.region),
             clock,
             { hostOrder.count },
@@ -262,8 +269,10 @@
 
     /** Periodically closes overdue connections, expires registrations and moves attempts away from silent upstreams. */
     private suspend fun runMaintenance() {
+        var dueAtMillis = clock.nowMillis()
         while (true) {
             val nowMillis = clock.nowMillis()
+            loopReport.add(nowMillis, nowMillis - dueAtMillis)
             (callers.connections + hostHandler.connections).forEach { it.closeIfTimedOut(nowMillis) }
             connections.closeStale()
             if (registry.expire(nowMillis).isNotEmpty()) fleetViewChanged()
@@ -271,6 +280,7 @@
             endStalledAttempts()
             moveFromSilentUpstreams(nowMillis)
             context.dispatcher.placeAll()
+            dueAtMillis = clock.nowMillis() + MAINTENANCE_PERIOD_MILLIS
             delay(MAINTENANCE_PERIOD_MILLIS.milliseconds)
         }
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -152,7 +152,7 @@
         val sentBefore = !triedUpstreams.add(upstream.entry.id)
         val nowMillis = context.clock.nowMillis()
         upstream.candidate.load.sent(nowMillis, id, choice.cost)
-        context.metrics.recordBegunTokens(terms)
+        context.metrics.recordSentTokens(terms)
         context.log.sent(terms, upstream.entry.id, choice, nowMillis - terms.arrivedAtMillis, triedUpstreams.size)
         if (resuming) progress.resumed()
         val next = Attempt(id, upstream, context, route.kind == RouteKind.EVENT_STREAM, this)
@@ -195,6 +195,8 @@
         if (lifecycle.state == RequestState.STREAMING) return
         lifecycle.responseStarted()
         responseStarted = true
+        context.metrics.recordBegunTokens(terms)
+        streamTimes.recordUpstreamWait(context.clock.nowMillis() - attempt.sentAtMillis)
         streamTimes.recordFirstEvent(context.clock.nowMillis() - terms.arrivedAtMillis)
         context.metrics.recordFirstEvent(terms, context.clock.nowMillis())
         caller.beginStream(head.status(), responseHeadersToForward(head.headers()), isFramed)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StreamTimes.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StreamTimes.kt
@@ -8,6 +8,10 @@
     var firstEventMillis: Long = -1
         private set
 
+    /** Time from the first send to an upstream that began to respond until its first event; -1 before the first event. */
+    var upstreamWaitMillis: Long = -1
+        private set
+
     /** Longest pause between two consecutive events of the same upstream. */
     var longestPauseMillis: Long = 0
         private set
@@ -17,6 +21,11 @@
         firstEventMillis = elapsedMillis
     }
 
+    /** Records that the first event came [millis] after the request was sent to its upstream. */
+    fun recordUpstreamWait(millis: Long) {
+        upstreamWaitMillis = millis
+    }
+
     /** Records that events were passed on and returns the pause before them; null for the first events of an upstream. */
     fun recordForwardedEvents(nowMillis: Long): Long? {
         val pauseMillis = lastEventAtMillis?.let { nowMillis - it }
