Examine engines for a queued request only when the decision may change

Callers of a workspace that surged on one host of a large fleet were refused or late for ten seconds.

Cause: each request, and each response that began or ended, made the host score all engines for each queued request. Half of the queued requests wait for an engine that is better than those with room, so 100 of them cost 7,800 scores at each of a thousand events a second.

A decision to wait now stands until the awaited engine has room, or for 50 ms; the limit to all engines together is asked before the queue is ordered; the preferred engines of a prompt part, and the least work of a waiting workspace, are remembered.

BusyHostTest examined 390,000 engines in 50 events before, bound 3,900; it passes.

--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -5,6 +5,7 @@
 import buckthornbay.core.load.Choice
 import buckthornbay.core.load.HostPace
 import buckthornbay.core.load.Placement
+import buckthornbay.core.load.PlacementDecision
 import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.load.UpstreamLoad
 import buckthornbay.protocol.ServiceId
@@ -85,6 +86,17 @@
     /** Services whose requests are being sent; requests that fail at once may cause further ones to be placed meanwhile. */
     private val placing = HashSet<ServiceId>()
 
+    /** Queued requests that wait for an upstream that is better than those that have room, by id. */
+    private val awaited = HashMap<String, AwaitedUpstream>()
+
+    /**
+     * A [decision] to wait for an upstream, which is not made again at each event: a host with many queued requests would spend
+     * all its time on it.
+     */
+    private class AwaitedUpstream(private val decision: PlacementDecision.Await, private val decidedAtMillis: Long) {
+        fun isCurrent(nowMillis: Long): Boolean = nowMillis - decidedAtMillis < REEXAMINE_MILLIS && decision.isCurrent(nowMillis)
+    }
+
     /** A request of [tokens] of work that was sent to an engine of [service]. */
     private class PendingSend(val service: ServiceId, val tokens: Double)
 
@@ -129,6 +141,7 @@
     public fun withdraw(request: DispatchedRequest) {
         val waiting = request.queueEntry ?: return
         request.queueEntry = null
+        awaited.remove(request.id)
         queueFor(request.service).remove(waiting)
     }
 
@@ -149,7 +162,7 @@
         val queue = queues[service] ?: return
         if (queue.size == 0 || !placing.add(service)) return
         try {
-            queue.placeWhile(clock.nowMillis()) { waiting -> placeOne(waiting.request) }
+            queue.placeWhile(clock.nowMillis(), { hasPace(service) }) { waiting -> placeOne(waiting.request) }
         } finally {
             placing.remove(service)
         }
@@ -211,14 +224,15 @@
         val workspace = request.workspaceId
         val mayYield = request.rank != WaitingRank.DUE && workspace != null
         if (mayYield && accounts.backlog.shouldYield(nowMillis, workspace)) return false
+        val mayWait = request.mayWaitForBestUpstream(nowMillis)
+        if (mayWait && awaited[request.id]?.isCurrent(nowMillis) == true) return false
         val usable = candidates(request.service)
-        val pace = paceOf(request.service, usable, nowMillis)
-        if (pace?.hasRoom(nowMillis) { loadsOf(usable, nowMillis) } == false) return false
         val preferred = usable.filterNot { it.id in request.triedUpstreams }.ifEmpty { usable }
-        val choice =
-            placement.choose(nowMillis, preferred, request.demand, request.mayWaitForBestUpstream(nowMillis)) ?: return false
+        val decision = placement.decide(nowMillis, preferred, request.demand, mayWait)
+        if (decision is PlacementDecision.Await) awaited[request.id] = AwaitedUpstream(decision, nowMillis)
+        val choice = (decision as? PlacementDecision.Send)?.choice ?: return false
         withdraw(request)
-        pace?.sent(choice.cost)
+        paceOf(request.service, usable, nowMillis)?.sent(choice.cost)
         request.demand?.let { demand ->
             workspace?.let { accounts.startedWork.charge(nowMillis, it, demand.workTokens) }
             accounts.engineWork.sent(request.service, demand.workTokens)
@@ -229,6 +243,13 @@
         return true
     }
 
+    /** Returns whether the limit to all engines of [service] together, if there is one, lets this host send. */
+    private fun hasPace(service: ServiceId): Boolean {
+        val nowMillis = clock.nowMillis()
+        val usable = candidates(service)
+        return paceOf(service, usable, nowMillis)?.hasRoom(nowMillis) { loadsOf(usable, nowMillis) } != false
+    }
+
     /**
      * Returns the limit to the engines of [service] together; null in a small fleet, and for a plain service, whatever its
      * callers state.
@@ -254,6 +275,9 @@
          */
         const val MAX_HOSTS_LIMITED_BY_ENGINES = 12
 
+        /** Maximum time for which a decision to wait for an upstream stands, in milliseconds; other upstreams change meanwhile. */
+        const val REEXAMINE_MILLIS = 50L
+
         /** Minimum time between two counts of the hosts, in milliseconds; membership changes take longer to be noticed. */
         const val HOST_COUNT_MILLIS = 200L
 
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -67,14 +67,15 @@
     }
 
     /**
-     * Offers queued requests to [place] in priority order, and starts over after each one placed, until none can be placed.
+     * Offers queued requests to [place] in priority order, and starts over after each one placed, until none can be placed or
+     * [mayPlace], which is asked before each round, returns false.
      *
      * [place] must remove a request before it places it. A request that does not fit causes no head-of-line blocking: smaller
      * requests of other workspaces may still fit.
      */
-    public fun placeWhile(nowMillis: Long, place: (QueuedRequest<T>) -> Boolean) {
+    public fun placeWhile(nowMillis: Long, mayPlace: () -> Boolean = { true }, place: (QueuedRequest<T>) -> Boolean) {
         var placed = true
-        while (placed && size > 0) placed = inPriorityOrder(nowMillis).any(place)
+        while (placed && size > 0 && mayPlace()) placed = inPriorityOrder(nowMillis).any(place)
     }
 
     /**
--- a/core/src/main/kotlin/buckthornbay/core/admission/FleetBacklog.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FleetBacklog.kt
@@ -19,10 +19,13 @@
     private class Report(val workspaces: Collection<WorkspaceId>, val asOfMillis: Long)
 
     private val reports = HashMap<HostId, Report>()
+    private var leastTokens: Double? = null
+    private var leastAsOfMillis = Long.MIN_VALUE / 2
 
     /** Replaces the report of [host] by the [workspaces] that are queued there now. */
     public fun receive(nowMillis: Long, host: HostId, workspaces: Collection<WorkspaceId>) {
         reports[host] = Report(workspaces, nowMillis)
+        leastAsOfMillis = Long.MIN_VALUE / 2
     }
 
     /** Returns the workspaces that are queued on [host]. */
@@ -38,11 +41,17 @@
 
     /** Returns whether [workspace] should yield to one that is queued on another host and received clearly less service. */
     public fun shouldYield(nowMillis: Long, workspace: WorkspaceId): Boolean {
-        val own = started.recentTokens(nowMillis, workspace)
-        return reports.values.any { report ->
-            nowMillis - report.asOfMillis <= settings.reportTtlMillis &&
-                report.workspaces.any { started.recentTokens(nowMillis, it) * settings.ratio + settings.slackTokens < own }
+        val least = leastTokensWaiting(nowMillis) ?: return false
+        return least * settings.ratio + settings.slackTokens < started.recentTokens(nowMillis, workspace)
+    }
+
+    /** Returns the recent work of the workspace that received least among those queued on other hosts; null if there is none. */
+    private fun leastTokensWaiting(nowMillis: Long): Double? {
+        if (nowMillis - leastAsOfMillis >= settings.refreshMillis) {
+            leastTokens = waitingWhere(nowMillis) { true }.minOfOrNull { started.recentTokens(nowMillis, it) }
+            leastAsOfMillis = nowMillis
         }
+        return leastTokens
     }
 }
 
@@ -50,11 +59,14 @@
  * Constants of [FleetBacklog].
  *
  * @property reportTtlMillis how long a report is valid, in milliseconds; peers report several times a second.
+ * @property refreshMillis how long the least work of a queued workspace is used, in milliseconds; a busy host asks for it
+ * thousands of times a second.
  * @property ratio ratio between the recent work of two workspaces above which the larger one yields.
  * @property slackTokens additional recent work that is tolerated, in tokens: one large request.
  */
 public data class FleetBacklogSettings(
     public val reportTtlMillis: Long = 1_500,
+    public val refreshMillis: Long = 10,
     public val ratio: Double = 1.25,
     public val slackTokens: Double = 15_000.0,
 )
--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -1,5 +1,6 @@
 package buckthornbay.core.load
 
+import buckthornbay.core.LruMap
 import buckthornbay.core.membership.rendezvousOrder
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.UpstreamId
@@ -39,6 +40,22 @@
     public val copyFrom: Candidate? = null,
 )
 
+/** What [Placement] decides about a queued request. */
+public sealed interface PlacementDecision {
+    /** The request is sent. */
+    public data class Send(public val choice: Choice) : PlacementDecision
+
+    /** The request of [cost] stays queued for [upstream], which has no room but a clearly better score than those that have. */
+    public data class Await(public val upstream: Candidate, public val cost: Double) : PlacementDecision {
+        /** Returns whether the upstream may be used and still has no room, so that the decision would be the same. */
+        public fun isCurrent(nowMillis: Long): Boolean =
+            upstream.usableFromMillis <= nowMillis && !upstream.load.hasRoom(nowMillis, cost)
+    }
+
+    /** The request stays queued, because no upstream has room. */
+    public data object NoRoom : PlacementDecision
+}
+
 /**
  * A policy that sends each request to the upstream with the lowest score.
  *
@@ -49,25 +66,40 @@
  * the part from an engine that probably has it cached, which takes a fraction of the prefill time.
  */
 public class Placement(private val region: RegionId, private val settings: PlacementSettings = PlacementSettings()) {
+    private val orders = LruMap<String, PreferredEngines>(MAX_ORDERS)
+    private var orderedEngines = emptyList<Candidate>()
+
+    /** Returns the best of [candidates] that has room, or null if the request should stay queued; see [decide]. */
+    public fun choose(nowMillis: Long, candidates: List<Candidate>, demand: TokenDemand?, waitForBest: Boolean): Choice? =
+        (decide(nowMillis, candidates, demand, waitForBest) as? PlacementDecision.Send)?.choice
+
     /**
-     * Returns the best of [candidates] that has room, or null if the request should stay queued.
+     * Decides whether a request is sent to the best of [candidates] that has room or stays queued.
      *
-     * With [waitForBest] the result is also null when an upstream without room has a clearly better score than the best one
-     * that has room.
+     * With [waitForBest] it also stays queued when an upstream without room has a clearly better score than the best one that
+     * has room.
      */
-    public fun choose(nowMillis: Long, candidates: List<Candidate>, demand: TokenDemand?, waitForBest: Boolean): Choice? {
+    public fun decide(
+        nowMillis: Long,
+        candidates: List<Candidate>,
+        demand: TokenDemand?,
+        waitForBest: Boolean,
+    ): PlacementDecision {
         val usable = candidates.filter { it.usableFromMillis <= nowMillis }
         // Under load nearly every call returns here, before the cost of rendezvous hashing.
-        if (usable.none { it.load.hasRoom(nowMillis, minCostOf(demand)) }) return null
+        if (usable.none { it.load.hasRoom(nowMillis, minCostOf(demand)) }) return PlacementDecision.NoRoom
         val preferred = preferredEnginesOf(demand?.sharedPart, usable)
         val cachedPrefixes = usable.map { cachedPrefixOf(nowMillis, it, demand) }
         val cacheHolder = demand?.let { cacheHolderOf(cachedPrefixes, it, preferred) }
         val scored = cachedPrefixes.map { score(nowMillis, it, demand, preferred, cacheHolder) }
         val withRoom = scored.filter { it.upstream.load.hasRoom(nowMillis, it.cost) }
-        val best = withRoom.minByOrNull { it.scoreMillis } ?: return null
-        val worthWaiting = waitForBest && scored.any { it.scoreMillis + settings.waitForBestGainMillis < best.scoreMillis }
-        if (worthWaiting) return null
-        return Choice(best.upstream, best.cost, best.expectedMillis, best.upstream === preferred.first, best.copyFrom)
+        val best = withRoom.minByOrNull { it.scoreMillis } ?: return PlacementDecision.NoRoom
+        val first = scored.minBy { it.scoreMillis }
+        if (waitForBest && first.scoreMillis + settings.waitForBestGainMillis < best.scoreMillis) {
+            return PlacementDecision.Await(first.upstream, first.cost)
+        }
+        val isPreferred = best.upstream === preferred.first
+        return PlacementDecision.Send(Choice(best.upstream, best.cost, best.expectedMillis, isPreferred, best.copyFrom))
     }
 
     private class ScoredCandidate(
@@ -140,8 +172,14 @@
 
     private fun preferredEnginesOf(part: String?, candidates: List<Candidate>): PreferredEngines {
         if (part == null) return PreferredEngines(null, null)
-        val order = rendezvousOrder(part, candidates.filter { it.cache != null }) { it.id.value }
-        return PreferredEngines(order.getOrNull(0), order.getOrNull(1))
+        if (candidates != orderedEngines) {
+            orders.clear()
+            orderedEngines = candidates
+        }
+        return orders.getOrPut(part) {
+            val order = rendezvousOrder(part, candidates.filter { it.cache != null }) { it.id.value }
+            PreferredEngines(order.getOrNull(0), order.getOrNull(1))
+        }
     }
 
     /** Returns an engine that probably has the shared parts of [demand] cached, if possible the most preferred one. */
@@ -152,6 +190,9 @@
 
     private companion object {
         const val MIN_SUCCESS_RATE = 0.05
+
+        /** Maximum number of prompt parts whose preferred engines are remembered; a fleet uses a few thousand. */
+        const val MAX_ORDERS = 4_096
     }
 }
 
