Let work wait at the hosts, which order it, rather than in the engines

A workspace got far less than its share while others were served.

Cause: what is beyond a share went to the engines nearly unhindered, by rates that start at twice the throughput and that each host of seventy corrects alone from few samples. Engines serve in order of arrival and know no workspaces, so shares decided nothing there. Besides, the throughput that was divided was the stated one, however little engines began; rejected sends were charged as begun work; late and refused requests used up their workspace's share; and a rejection made work beyond the share due.

Hosts now tell each other, with their accounts, what they have pending at the engines and how fast it begins. Shares divide what engines begin while they are full, and requests within them are sent beyond the limit. What has not begun is not charged, and only requests that are served use up the share.

--- a/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
@@ -5,6 +5,7 @@
 import buckthornbay.core.membership.rendezvousOrder
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.Member
+import buckthornbay.protocol.ServiceId
 import buckthornbay.protocol.WorkspaceId
 import buckthornbay.protocol.ZoneId
 import kotlinx.serialization.SerialName
@@ -38,6 +39,7 @@
  * @property requestedWork recently requested work, in tokens by workspace.
  * @property waiting workspaces that have requests queued there.
  * @property store what the sender knows of the store; carried by one entry of each message.
+ * @property engineWork work that was sent to engines from there, by service.
  */
 @Serializable
 public data class SourceAccounts(
@@ -47,6 +49,7 @@
     @SerialName("a") public val requestedWork: Map<WorkspaceId, Long>,
     @SerialName("w") public val waiting: Set<WorkspaceId>,
     @SerialName("k") public val store: StoreStatement? = null,
+    @SerialName("e") public val engineWork: Map<ServiceId, EngineWork> = emptyMap(),
 )
 
 /**
@@ -93,6 +96,7 @@
         val nowMillis = clock.nowMillis()
         accounts.startedWork.putSnapshot(nowMillis, received.source, received.startedWork.toTokens())
         accounts.requestedWork.putSnapshot(nowMillis, received.source, received.requestedWork.toTokens())
+        accounts.engineWork.putSnapshot(nowMillis, received.source, received.engineWork)
         accounts.backlog.receive(nowMillis, HostId(received.source), received.waiting)
     }
 
@@ -116,6 +120,7 @@
             accounts.startedWork.snapshotOf(nowMillis, source).toWholeTokens(),
             accounts.requestedWork.snapshotOf(nowMillis, source).toWholeTokens(),
             accounts.backlog.waitingAt(nowMillis, HostId(source)),
+            engineWork = accounts.engineWork.sumOf(nowMillis, withOwn = false) { it == source },
         )
     }
 
@@ -129,6 +134,7 @@
             accounts.startedWork.recentOf(nowMillis, withOwn, include).toWholeTokens(),
             accounts.requestedWork.recentOf(nowMillis, withOwn, include).toWholeTokens(),
             ownWaiting + accounts.backlog.waitingWhere(nowMillis) { include(it.value) },
+            engineWork = accounts.engineWork.sumOf(nowMillis, withOwn, include),
         )
     }
 
--- a/core/src/main/kotlin/buckthornbay/core/admission/Admission.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Admission.kt
@@ -15,7 +15,9 @@
     public val priorWaits: CallerRetryTracker,
 ) {
     /**
-     * Charges the [demand] of a request to its [workspace] and returns the priority class of the request.
+     * Records the [demand] of a request for its [workspace] and returns the priority class of the request.
+     *
+     * Only a request that is due takes from the share of the workspace: a late one is served behind others, whatever is left.
      *
      * @param waitedMillis time since the caller's first attempt, in milliseconds.
      */
@@ -27,11 +29,18 @@
         waitedMillis: Long,
     ): WaitingRank {
         if (workspace == null || demand == null) return WaitingRank.DUE
-        val withinShare = shares.tryAcquire(nowMillis, workspace, demand.workTokens)
-        return when {
-            waitedMillis >= (route.objectiveMillis ?: Long.MAX_VALUE) -> WaitingRank.LATE
-            withinShare -> WaitingRank.DUE
-            else -> WaitingRank.BEYOND_SHARE
+        if (waitedMillis >= (route.objectiveMillis ?: Long.MAX_VALUE)) {
+            shares.recordDemand(nowMillis, workspace, demand.workTokens)
+            return WaitingRank.LATE
+        }
+        val isWithinShare = shares.tryAcquire(nowMillis, workspace, demand.workTokens)
+        return if (isWithinShare) WaitingRank.DUE else WaitingRank.BEYOND_SHARE
+    }
+
+    /** Gives back what a request of [rank] took from the share of its [workspace], because it is refused. */
+    public fun refused(nowMillis: Long, workspace: WorkspaceId?, demand: TokenDemand?, rank: WaitingRank) {
+        if (workspace != null && demand != null && rank == WaitingRank.DUE) {
+            shares.release(nowMillis, workspace, demand.workTokens)
         }
     }
 }
--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -6,6 +6,7 @@
 import buckthornbay.core.load.HostPace
 import buckthornbay.core.load.Placement
 import buckthornbay.core.load.PlacementDecision
+import buckthornbay.core.load.SendOutcome
 import buckthornbay.core.load.TokenDemand
 import buckthornbay.core.load.UpstreamLoad
 import buckthornbay.protocol.ServiceId
@@ -67,6 +68,8 @@
  * @param candidates upstreams of a service that may get new requests.
  * @param accounts work by workspace and at the engines, and the workspaces with queued requests on other hosts.
  * @param hostCount number of live hosts of the fleet.
+ * @param pendingLimit work that this host may have pending at the engines of a service, in tokens; requests within the share of
+ * their workspace are sent beyond it, because the shares add up to what engines begin.
  */
 public class Dispatcher(
     private val candidates: (ServiceId) -> List<Candidate>,
@@ -74,12 +77,13 @@
     private val placement: Placement,
     private val clock: Clock,
     private val hostCount: () -> Int = { 1 },
+    private val pendingLimit: (ServiceId) -> Double = { Double.MAX_VALUE },
 ) {
     private val queues = HashMap<ServiceId, FairQueue<DispatchedRequest>>()
     private val paces = HashMap<ServiceId, HostPace>()
 
-    /** Requests at engines whose response has not begun, by id. */
-    private val pending = HashMap<String, PendingSend>()
+    private val pendingLimits = HashMap<ServiceId, PendingLimit>()
+    private val pendingSends = PendingSends(accounts, clock)
     private var isLargeFleet = false
     private var hostsCountedAtMillis = Long.MIN_VALUE / 2
 
@@ -97,8 +101,8 @@
         fun isCurrent(nowMillis: Long): Boolean = nowMillis - decidedAtMillis < REEXAMINE_MILLIS && decision.isCurrent(nowMillis)
     }
 
-    /** A request of [tokens] of work that was sent to an engine of [service]. */
-    private class PendingSend(val service: ServiceId, val tokens: Double)
+    /** The limit to pending work of a service, in [tokens]. */
+    private class PendingLimit(val tokens: Double, val asOfMillis: Long)
 
     /** Number of queued requests of all services. */
     public val waitingCount: Int get() = queues.values.sumOf { it.size }
@@ -146,16 +150,10 @@
     }
 
     /** Records that the response to the latest attempt of request [id] has begun. */
-    public fun responseStarted(id: String) {
-        val sent = pending.remove(id) ?: return
-        accounts.engineWork.begun(clock.nowMillis(), sent.service, sent.tokens)
-    }
+    public fun responseStarted(id: String): Unit = pendingSends.responseStarted(id)
 
-    /** Records that the latest attempt of request [id] has ended. */
-    public fun attemptEnded(id: String) {
-        val sent = pending.remove(id) ?: return
-        accounts.engineWork.dropped(sent.service, sent.tokens)
-    }
+    /** Records that the latest attempt of request [id] ended with [outcome]; work that has not begun is not charged. */
+    public fun attemptEnded(id: String, outcome: SendOutcome): Unit = pendingSends.attemptEnded(id, outcome)
 
     /** Sends the queued requests for which an upstream of [service] has room. */
     public fun place(service: ServiceId) {
@@ -221,9 +219,7 @@
 
     private fun placeOne(request: DispatchedRequest): Boolean {
         val nowMillis = clock.nowMillis()
-        val workspace = request.workspaceId
-        val mayYield = request.rank != WaitingRank.DUE && workspace != null
-        if (mayYield && accounts.backlog.shouldYield(nowMillis, workspace)) return false
+        if (request.rank != WaitingRank.DUE && isHeldBack(nowMillis, request)) return false
         val mayWait = request.mayWaitForBestUpstream(nowMillis)
         if (mayWait && awaited[request.id]?.isCurrent(nowMillis) == true) return false
         val usable = candidates(request.service)
@@ -233,16 +229,24 @@
         val choice = (decision as? PlacementDecision.Send)?.choice ?: return false
         withdraw(request)
         paceOf(request.service, usable, nowMillis)?.sent(choice.cost)
-        request.demand?.let { demand ->
-            workspace?.let { accounts.startedWork.charge(nowMillis, it, demand.workTokens) }
-            accounts.engineWork.sent(request.service, demand.workTokens)
-            pending[request.id] = PendingSend(request.service, demand.workTokens)
-            choice.upstream.cache?.recordPrefill(nowMillis, demand)
-        }
+        pendingSends.sent(request, choice.upstream)
+        request.demand?.let { choice.upstream.cache?.recordPrefill(nowMillis, it) }
         request.send(choice)
         return true
     }
 
+    /** Returns whether [request] is left queued because of what waits in the engines, or on other hosts. */
+    private fun isHeldBack(nowMillis: Long, request: DispatchedRequest): Boolean {
+        if (request.demand != null && isPendingLimitReached(request.service, nowMillis)) return true
+        return request.workspaceId?.let { accounts.backlog.shouldYield(nowMillis, it) } == true
+    }
+
+    private fun isPendingLimitReached(service: ServiceId, nowMillis: Long): Boolean {
+        val known = pendingLimits[service]?.takeIf { nowMillis - it.asOfMillis < LIMIT_REFRESH_MILLIS }
+        val limit = known ?: PendingLimit(pendingLimit(service), nowMillis).also { pendingLimits[service] = it }
+        return accounts.engineWork.ownWork(nowMillis, service).pendingTokens > limit.tokens
+    }
+
     /** Returns whether the limit to all engines of [service] together, if there is one, lets this host send. */
     private fun hasPace(service: ServiceId): Boolean {
         val nowMillis = clock.nowMillis()
@@ -275,7 +279,10 @@
          */
         const val MAX_HOSTS_LIMITED_BY_ENGINES = 12
 
-        /** Maximum time for which a decision to wait for an upstream stands, in milliseconds; other upstreams change meanwhile. */
+        /** Minimum time between two computations of the limit to pending work, in milliseconds; peers report less often. */
+        const val LIMIT_REFRESH_MILLIS = 50L
+
+        /** Maximum time for which a decision to wait for an upstream stands, in milliseconds; others change meanwhile. */
         const val REEXAMINE_MILLIS = 50L
 
         /** Minimum time between two counts of the hosts, in milliseconds; membership changes take longer to be noticed. */
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -13,11 +13,13 @@
  *
  * @param fleetDemand demand of the workspaces on all hosts.
  * @param hosts live hosts of the fleet.
+ * @param presentTokensPerSecond returns the throughput of all engines at present for the one that the operator states.
  */
 public class FairShares(
     private val fleetDemand: FleetAccounts,
     private val hosts: HostOrder,
     private val settings: FairShareSettings = FairShareSettings(),
+    private val presentTokensPerSecond: (nowMillis: Long, stated: Double) -> Double = { _, stated -> stated },
 ) {
     private class Bucket(var tokens: Double, var asOfMillis: Long)
 
@@ -34,12 +36,17 @@
     private var rates = emptyMap<WorkspaceId, Double>()
     private var fairShareAtMillis = Long.MIN_VALUE / 2
 
-    /** Total throughput of all engines, in tokens per second; null if unknown, in which case shares are unlimited. */
+    /** Stated throughput of all engines, in tokens per second; null if unknown, in which case shares are unlimited. */
     public var tokensPerSecond: Double? = null
 
+    /** Records a demand of [workspace] for [tokens] that takes nothing from its share. */
+    public fun recordDemand(nowMillis: Long, workspace: WorkspaceId, tokens: Double) {
+        fleetDemand.charge(nowMillis, workspace, tokens)
+    }
+
     /** Records a demand of [workspace] for [tokens] and returns whether it is within the workspace's fair share. */
     public fun tryAcquire(nowMillis: Long, workspace: WorkspaceId, tokens: Double): Boolean {
-        fleetDemand.charge(nowMillis, workspace, tokens)
+        recordDemand(nowMillis, workspace, tokens)
         refreshFairShare(nowMillis)
         if (fleetDemand.tokensPerSecond(nowMillis, workspace) <= fairShare) {
             buckets.remove(workspace)
@@ -51,6 +58,11 @@
         return true
     }
 
+    /** Gives back [tokens] that [tryAcquire] took from the share of [workspace]. */
+    public fun release(nowMillis: Long, workspace: WorkspaceId, tokens: Double) {
+        if (workspace in buckets) refill(nowMillis, workspace).tokens += tokens
+    }
+
     /** Returns the current upper bound of a workspace's share, in tokens per second; null while all demands can be met. */
     public fun shareTokensPerSecond(nowMillis: Long): Double? {
         refreshFairShare(nowMillis)
@@ -96,7 +108,7 @@
     private fun refreshFairShare(nowMillis: Long) {
         if (nowMillis - fairShareAtMillis < settings.refreshMillis) return
         fairShareAtMillis = nowMillis
-        val capacity = tokensPerSecond
+        val capacity = tokensPerSecond?.let { presentTokensPerSecond(nowMillis, it) }
         rates = fleetDemand.workspaces.associateWith { fleetDemand.tokensPerSecond(nowMillis, it) }
         fairShare =
             if (capacity == null) Double.MAX_VALUE else maxMinShare(rates.values.toList(), capacity * settings.capacityFactor)
--- a/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FleetAccounts.kt
@@ -41,6 +41,14 @@
         fleet.add(nowMillis, workspace, tokens)
     }
 
+    /** Takes back [tokens] of [workspace] that were charged on this host at [chargedAtMillis]. */
+    public fun refund(nowMillis: Long, workspace: WorkspaceId, tokens: Double, chargedAtMillis: Long) {
+        ownTotals.merge(workspace, -tokens, Double::plus)
+        val left = tokens * exp(-(nowMillis - chargedAtMillis) / timeConstantMillis)
+        own.add(nowMillis, workspace, -left)
+        fleet.add(nowMillis, workspace, -left)
+    }
+
     /** Merges the cumulative [totals] of [host] since the start of its [incarnation]. */
     public fun receive(nowMillis: Long, host: HostId, incarnation: Long, totals: Map<WorkspaceId, Double>) {
         val previous = remoteTotals[host]
@@ -50,7 +58,7 @@
         if (previous == null || previous.incarnation != incarnation) return
         for ((workspace, total) in totals) {
             val delta = total - (previous.totals[workspace] ?: 0.0)
-            if (delta <= 0) continue
+            if (delta == 0.0) continue
             fleet.add(nowMillis, workspace, delta)
             current.recent.add(nowMillis, workspace, delta)
         }
@@ -127,7 +135,7 @@
 
     private fun HashMap<WorkspaceId, DecayingSum>.add(nowMillis: Long, workspace: WorkspaceId, tokens: Double) {
         val entry = getOrPut(workspace) { DecayingSum(0.0, nowMillis) }
-        entry.tokens = this.recent(nowMillis, workspace) + tokens
+        entry.tokens = (this.recent(nowMillis, workspace) + tokens).coerceAtLeast(0.0)
         entry.asOfMillis = nowMillis
     }
 
--- a/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
@@ -120,6 +120,19 @@
         assertEquals((1..10).map { "$it" }, sent)
     }
 
+    /** The more of a workspace's requests upstreams reject, the better served it would look otherwise. */
+    @Test
+    fun rejectedSendsAreNotCharged() {
+        val demand = TokenDemand(12_000, 10, emptyList())
+        dispatcher.submit(TestRequest("rejected", demand))
+        dispatcher.attemptEnded("rejected", SendOutcome.REFUSED)
+        assertEquals(0.0, startedWork.recentTokens(nowMillis, WorkspaceId("workspace")))
+        dispatcher.submit(TestRequest("begun", demand))
+        dispatcher.responseStarted("begun")
+        dispatcher.attemptEnded("begun", SendOutcome.FAILED)
+        assertEquals(demand.workTokens, startedWork.recentTokens(nowMillis, WorkspaceId("workspace")))
+    }
+
     @Test
     fun requestsThatAPauseOutlastsAreRefusedWithTheTimeOfItsEnd() {
         pausedUntilMillis = QUEUE_MILLIS + 1
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -220,10 +220,15 @@
         private val backlog = FleetBacklog(started)
         private val accounts: WorkspaceAccounts =
             WorkspaceAccounts(started, requested, backlog, clock) { dispatcher.workspacesWaitingFor(it) }
+        private val window = EngineWindow(accounts.engineWork) { engineShape.count }
         private val aggregation = AccountsAggregation(self, accounts) { hosts.map { it.self } }
         val admission = Admission(
             AdmissionPolicy(random),
-            FairShares(requested, ZoneHostOrder(self) { hosts.map { it.self } }).apply { tokensPerSecond = plan.tokensPerSecond },
+            FairShares(
+                requested,
+                ZoneHostOrder(self) { hosts.map { it.self } },
+                presentTokensPerSecond = window::presentTokensPerSecond,
+            ).apply { tokensPerSecond = plan.tokensPerSecond },
             CallerRetryTracker(),
         )
         private val candidates = List(engineShape.count) { engine ->
@@ -235,7 +240,11 @@
                 PrefixCacheModel(),
             )
         }
-        val dispatcher: Dispatcher = Dispatcher({ candidates }, accounts, Placement(self.region), clock) { hostCount }
+        val dispatcher: Dispatcher =
+            Dispatcher({ candidates }, accounts, Placement(self.region), clock, { hostCount }) { service ->
+                val nowMillis = clock.nowMillis()
+                window.hostTokens(nowMillis, service, admission.shares.hostFraction(nowMillis), hostCount)
+            }
 
         fun start() {
             schedule(random.nextDouble() * EXCHANGE_MILLIS) { exchangeAccounts() }
@@ -283,12 +292,13 @@
     ) : DispatchedRequest {
         private val arrivedAtMillis = clock.nowMillis()
         private var begun = false
+        private var failedBefore = false
         override val id = "request-${sequence++}"
         override val service = ServiceId("models")
         override val workspaceId = fingerprint.workspace
         override val demand = caller.demand
         override val triedUpstreams = LinkedHashSet<UpstreamId>()
-        override val rank get() = if (triedUpstreams.isEmpty()) firstRank else WaitingRank.DUE
+        override val rank get() = if (failedBefore) WaitingRank.DUE else firstRank
         override var queueEntry: QueuedRequest<DispatchedRequest>? = null
 
         override fun queueUntilMillis() = if (triedUpstreams.isEmpty()) {
@@ -320,6 +330,7 @@
         override fun refuse(reason: String, retryAfterMillis: Long?) {
             val nowMillis = clock.nowMillis()
             val delayMillis = host.admission.policy.retryAfterMillis(route, caller.deadlineMillis - nowMillis)
+            host.admission.refused(nowMillis, workspaceId, demand, firstRank)
             host.admission.priorWaits.recordRefusal(nowMillis, fingerprint, nowMillis - firstReceivedAtMillis)
             caller.refused(host, delayMillis, retriesLeft)
         }
@@ -360,6 +371,7 @@
                 onEnd = { atHost { ended(upstream, SendOutcome.ANSWERED) } },
                 onCrash = {
                     atHost {
+                        failedBefore = true
                         ended(upstream, SendOutcome.FAILED)
                         resend("the upstream crashed")
                     }
@@ -381,7 +393,7 @@
 
         private fun ended(upstream: Candidate, outcome: SendOutcome) {
             upstream.load.ended(clock.nowMillis(), id, outcome)
-            host.dispatcher.attemptEnded(id)
+            host.dispatcher.attemptEnded(id, outcome)
             upstream.reliability.record(clock.nowMillis(), outcome)
             host.dispatcher.place(service)
         }
--- a/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
@@ -30,7 +30,7 @@
     private val engines = List(ENGINES) { number ->
         Candidate(UpstreamId("engine-$number"), region, EngineLoad { 1.0 / hosts }, UpstreamReliability(), PrefixCacheModel())
     }
-    private val dispatcher = Dispatcher({ engines }, accounts, Placement(region), clock) { hosts }
+    private val dispatcher = Dispatcher({ engines }, accounts, Placement(region), clock, { hosts })
 
     private inner class LargeRequest(override val id: String) : DispatchedRequest {
         override val service: ServiceId = this@HostPaceTest.service
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -367,7 +367,7 @@
         body = null
         if (!isHandedOver) memory.release()
         upstream.ended(this, outcome)
-        context.dispatcher.attemptEnded(id)
+        context.dispatcher.attemptEnded(id, outcome)
     }
 
     private companion object {
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -23,6 +23,7 @@
         terms.fingerprint?.let {
             context.admission.priorWaits.recordRefusal(nowMillis, it, nowMillis - terms.firstReceivedAtMillis)
         }
+        context.admission.refused(nowMillis, terms.workspace, terms.demand, terms.rank)
         context.metrics.recordRefusedTokens(terms)
         context.log.refused(terms, reason, refusalInputs(nowMillis, retryAfterSeconds))
         caller.fail(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: $reason", retryAfterSeconds)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -7,6 +7,7 @@
 import buckthornbay.core.admission.AdmissionPolicy
 import buckthornbay.core.admission.CallerRetryTracker
 import buckthornbay.core.admission.Dispatcher
+import buckthornbay.core.admission.EngineWindow
 import buckthornbay.core.admission.EngineWorkAccounts
 import buckthornbay.core.admission.FairShares
 import buckthornbay.core.admission.FleetAccounts
@@ -28,6 +29,7 @@
 import buckthornbay.core.wire.FleetFormat
 import buckthornbay.protocol.Member
 import buckthornbay.protocol.MemberStatus
+import buckthornbay.protocol.ServiceId
 import buckthornbay.store.HttpTransport
 import buckthornbay.store.ObjectCollections
 import buckthornbay.store.SystemClock
@@ -78,7 +80,9 @@
         }
     private val selfMember = Member(settings.host, settings.listen.control, settings.region, settings.zone, incarnation)
     private val hostOrder = ZoneHostOrder(selfMember) { membership.live() }
-    private val shares = FairShares(accounts.requestedWork, hostOrder)
+    private val engineWindow: EngineWindow = EngineWindow(accounts.engineWork) { upstreams.candidates(it).size }
+    private val shares: FairShares =
+        FairShares(accounts.requestedWork, hostOrder, presentTokensPerSecond = engineWindow::presentTokensPerSecond)
     private val metrics = GatewayMetrics()
     private val rateLimits = RateLimitWatch(deployment.callerInterface, clock, log, metrics)
     private val noticeWatch = NoticeWatch(deployment.callerInterface, notices, clock, log)
@@ -176,6 +180,7 @@
             Placement(settings.region),
             clock,
             { hostOrder.count },
+            ::pendingLimit,
         )
         metrics.buffers(context.buffers)
         storeKnowledge.run { mapOf("configuration" to configuration, "registrations" to registrations) }
@@ -301,6 +306,11 @@
         }
     }
 
+    private fun pendingLimit(service: ServiceId): Double {
+        val nowMillis = clock.nowMillis()
+        return engineWindow.hostTokens(nowMillis, service, shares.hostFraction(nowMillis), hostOrder.count)
+    }
+
     private fun endQuarantinedRequests() {
         context.requests.toList().forEach { it.endIfQuarantined() }
         peers.announce()
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.Clock
+import buckthornbay.core.admission.EngineWork
 import buckthornbay.core.admission.WorkspaceAccounts
 import buckthornbay.core.admission.toTokens
 import buckthornbay.core.admission.toWholeTokens
@@ -15,6 +16,7 @@
 import buckthornbay.protocol.HostId
 import buckthornbay.protocol.Member
 import buckthornbay.protocol.MemberStatus
+import buckthornbay.protocol.ServiceId
 import buckthornbay.protocol.WireJson
 import buckthornbay.protocol.WorkspaceId
 import buckthornbay.store.CollectionObject
@@ -44,6 +46,7 @@
  * @property quarantine recent crashes of upstreams and the quarantined prompt parts, as far as the sender knows.
  * @property rateLimits request rate limits that upstreams state, as far as the sender knows.
  * @property store what the sender knows of the store, and as of when.
+ * @property engineWork work that the sender has sent to engines, by service.
  */
 @Serializable
 internal data class GossipMessage(
@@ -56,6 +59,7 @@
     @SerialName("q") val quarantine: QuarantineNews = QuarantineNews(),
     @SerialName("l") val rateLimits: List<RateLimitNews> = emptyList(),
     @SerialName("k") val store: StoreStatement? = null,
+    @SerialName("e") val engineWork: Map<ServiceId, EngineWork> = emptyMap(),
 )
 
 /** The state of this host that it exchanges with its peers. */
@@ -156,6 +160,7 @@
     private fun mergeAccounts(nowMillis: Long, sender: Member, message: GossipMessage) {
         accounts.startedWork.receive(nowMillis, sender.host, sender.incarnation, message.startedWork.toTokens())
         accounts.requestedWork.receive(nowMillis, sender.host, sender.incarnation, message.requestedWork.toTokens())
+        accounts.engineWork.putSnapshot(nowMillis, sender.host.value, message.engineWork)
         accounts.backlog.receive(nowMillis, sender.host, message.waiting)
     }
 
@@ -229,6 +234,7 @@
         shared.crashWatch.news(),
         shared.rateLimits.news(),
         storeAccess.knowledge.statementFor(clock.nowMillis(), recipient),
+        if (accountsExchange.isNeeded) emptyMap() else accounts.engineWork.sumOf(clock.nowMillis(), withOwn = true) { false },
     )
 
     private fun report() = HostReport(fleetView.configurationVersion, loadPermille = 0)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -76,8 +76,14 @@
     override val demand: TokenDemand? get() = terms.demand
     override val mayRetry: Boolean get() = route.repeatable
 
-    /** Priority class in the queue: the highest if an earlier attempt failed, regardless of the share of the workspace. */
-    override val rank: WaitingRank get() = if (triedUpstreams.isEmpty()) terms.rank else WaitingRank.DUE
+    /** Whether an upstream failed the request after it may have begun it. */
+    private var failedBefore = false
+
+    /**
+     * Priority class in the queue: the highest if an earlier attempt failed, regardless of the share of the workspace. A
+     * rejection changes nothing, or work beyond the share would get ahead by being rejected.
+     */
+    override val rank: WaitingRank get() = if (failedBefore) WaitingRank.DUE else terms.rank
 
     /** Upstreams to which the request was sent. */
     override val triedUpstreams = LinkedHashSet<UpstreamId>()
@@ -240,6 +246,7 @@
         context.dispatcher.place(service)
         val mayRetryServerError = route.repeatable && answer.status.code() >= FIRST_SERVER_ERROR
         if (mayRetryServerError && lifecycle.state != RequestState.STREAMING) {
+            failedBefore = true
             keepFailedResponse(answer)
             proceed(lifecycle.failed(FailureKind.BROKEN_BEFORE_ANSWER), "the upstream answered ${answer.status.code()}")
             return
@@ -260,6 +267,7 @@
 
     override fun failed(attempt: Attempt, kind: FailureKind, reason: String) {
         this.attempt = null
+        if (kind != FailureKind.REFUSED_UNREAD) failedBefore = true
         streamTimes.recordInterruption()
         context.metrics.attemptFailed(kind)
         context.log.attemptFailed(terms, attempt.upstream.entry.id, triedUpstreams.size, kind, reason)
