Divide the stated throughput again, and limit pending work in large fleets only

LargeFleetFairnessTest failed: a workspace whose callers use one host got 2,394,119 of 5,248,045 owed tokens, since shares of what engines begin at present swing with reports that are a second old (140,000 to 509,000 tokens a second within two seconds).

Shares divide the stated throughput as before, requests within them may exceed the limit to pending work two and a half times, and the limit holds in fleets of more than 12 hosts, as the one to all engines together does.

--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -13,13 +13,11 @@
  *
  * @param fleetDemand demand of the workspaces on all hosts.
  * @param hosts live hosts of the fleet.
- * @param presentTokensPerSecond returns the throughput of all engines at present for the one that the operator states.
  */
 public class FairShares(
     private val fleetDemand: FleetAccounts,
     private val hosts: HostOrder,
     private val settings: FairShareSettings = FairShareSettings(),
-    private val presentTokensPerSecond: (nowMillis: Long, stated: Double) -> Double = { _, stated -> stated },
 ) {
     private class Bucket(var tokens: Double, var asOfMillis: Long)
 
@@ -36,7 +34,7 @@
     private var rates = emptyMap<WorkspaceId, Double>()
     private var fairShareAtMillis = Long.MIN_VALUE / 2
 
-    /** Stated throughput of all engines, in tokens per second; null if unknown, in which case shares are unlimited. */
+    /** Total throughput of all engines, in tokens per second; null if unknown, in which case shares are unlimited. */
     public var tokensPerSecond: Double? = null
 
     /** Records a demand of [workspace] for [tokens] that takes nothing from its share. */
@@ -108,7 +106,7 @@
     private fun refreshFairShare(nowMillis: Long) {
         if (nowMillis - fairShareAtMillis < settings.refreshMillis) return
         fairShareAtMillis = nowMillis
-        val capacity = tokensPerSecond?.let { presentTokensPerSecond(nowMillis, it) }
+        val capacity = tokensPerSecond
         rates = fleetDemand.workspaces.associateWith { fleetDemand.tokensPerSecond(nowMillis, it) }
         fairShare =
             if (capacity == null) Double.MAX_VALUE else maxMinShare(rates.values.toList(), capacity * settings.capacityFactor)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -80,9 +80,9 @@
         }
     private val selfMember = Member(settings.host, settings.listen.control, settings.region, settings.zone, incarnation)
     private val hostOrder = ZoneHostOrder(selfMember) { membership.live() }
-    private val engineWindow: EngineWindow = EngineWindow(accounts.engineWork) { upstreams.candidates(it).size }
-    private val shares: FairShares =
-        FairShares(accounts.requestedWork, hostOrder, presentTokensPerSecond = engineWindow::presentTokensPerSecond)
+    private val engineWindow: EngineWindow =
+        EngineWindow(accounts.engineWork, { hostOrder.count }) { upstreams.candidates(it).size }
+    private val shares = FairShares(accounts.requestedWork, hostOrder)
     private val metrics = GatewayMetrics()
     private val rateLimits = RateLimitWatch(deployment.callerInterface, clock, log, metrics)
     private val noticeWatch = NoticeWatch(deployment.callerInterface, notices, clock, log)
@@ -308,7 +308,7 @@
 
     private fun pendingLimit(service: ServiceId): Double {
         val nowMillis = clock.nowMillis()
-        return engineWindow.hostTokens(nowMillis, service, shares.hostFraction(nowMillis), hostOrder.count)
+        return engineWindow.hostTokens(nowMillis, service, shares.hostFraction(nowMillis))
     }
 
     private fun endQuarantinedRequests() {
