--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -179,7 +179,10 @@
     public fun placeAll() {
         queues.keys.toList().forEach { service ->
             val unservable = if (candidates(service).isEmpty()) queueFor(service).removeAll() else emptyList()
-            unservable.forEach { it.request.refuse("no upstream of the service may be used") }
+            unservable.forEach {
+                awaited.remove(it.id)
+                it.request.refuse("no upstream of the service may be used")
+            }
             place(service)
             refuseWhileUnusable(service)
         }
