Log what keeps a refused request queued, and what hosts may have pending at the engines

Lines 'refused' tell what held the request (held_by), what the host has pending and may have, and what all hosts have at the engines; buckthornbay_requests_refused_total counts refusals by it.

DispatcherTest.aQueuedRequestTellsWhatKeepsItQueued tests it; DispatcherTest, BusyHostTest, HostPaceTest and ShutdownTest passed.

--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -13,6 +13,24 @@
 import buckthornbay.protocol.UpstreamId
 import buckthornbay.protocol.WorkspaceId
 
+/** What kept a queued request from being sent when it was last looked at. */
+public enum class HoldReason {
+    /** It was not looked at: the host's limit to all engines is reached, or requests of its workspace are queued before it. */
+    NOT_OFFERED,
+
+    /** This host has as much work pending at the engines as it may have. */
+    PENDING_LIMIT,
+
+    /** Its workspace yields to one that is queued on another host. */
+    YIELDING,
+
+    /** No upstream has room. */
+    NO_ROOM,
+
+    /** An upstream without room is expected to be better than those that have room. */
+    AWAITS_BEST,
+}
+
 /** A caller's request that a [Dispatcher] queues and sends. */
 public interface DispatchedRequest {
     public val id: String
@@ -31,6 +49,9 @@
     /** The queue entry of this request, set by the dispatcher; null while it is not queued. */
     public var queueEntry: QueuedRequest<DispatchedRequest>?
 
+    /** What kept this request queued, set by the dispatcher; null if it was never queued. */
+    public var heldBy: HoldReason?
+
     /** Returns the time until which the request may stay queued, in milliseconds. */
     public fun queueUntilMillis(): Long
 
@@ -51,6 +72,9 @@
 /**
  * What a host assumes about the upstreams of a service, for logs.
  *
+ * @property pendingTokens work that this host has sent to engines and whose response has not begun, in tokens.
+ * @property pendingLimitTokens limit to [pendingTokens]; [Double.MAX_VALUE] if there is none.
+ * @property fleetWork work that all hosts have sent to the engines of the service.
  * @property reportingUpstreams upstreams whose latest load report is recent.
  * @property freeSlots slots without a request, at the reporting upstreams.
  * @property allowedPerSecond work that this host may send, per second: tokens for engines, requests otherwise.
@@ -60,6 +84,9 @@
     public val reportingUpstreams: Int,
     public val freeSlots: Int,
     public val allowedPerSecond: Double,
+    public val pendingTokens: Double,
+    public val pendingLimitTokens: Double,
+    public val fleetWork: EngineWork,
 )
 
 /**
@@ -128,6 +155,9 @@
             reportingUpstreams = views.count { it.freeSlots != null },
             freeSlots = views.sumOf { it.freeSlots ?: 0 },
             allowedPerSecond = views.sumOf { it.allowedPerSecond },
+            pendingTokens = accounts.engineWork.ownWork(nowMillis, service).pendingTokens,
+            pendingLimitTokens = pendingLimit(service),
+            fleetWork = accounts.engineWork.fleetWork(nowMillis, service),
         )
     }
 
@@ -141,6 +171,7 @@
         val waiting =
             QueuedRequest(request.id, request.workspaceId, request.rank, clock.nowMillis(), request.queueUntilMillis(), request)
         request.queueEntry = waiting
+        request.heldBy = HoldReason.NOT_OFFERED
         queue.add(waiting)
         place(request.service)
         refuseUnservable(request.service)
@@ -228,13 +259,15 @@
 
     private fun placeOne(request: DispatchedRequest): Boolean {
         val nowMillis = clock.nowMillis()
-        if (isHeldBack(nowMillis, request)) return false
         val mayWait = request.mayWaitForBestUpstream(nowMillis)
-        if (mayWait && awaited[request.id]?.isCurrent(nowMillis) == true) return false
+        val awaits = mayWait && awaited[request.id]?.isCurrent(nowMillis) == true
+        request.heldBy = heldBackBy(nowMillis, request) ?: if (awaits) HoldReason.AWAITS_BEST else null
+        if (request.heldBy != null) return false
         val usable = candidates(request.service)
         val preferred = usable.filterNot { it.id in request.triedUpstreams }.ifEmpty { usable }
         val decision = placement.decide(nowMillis, preferred, request.demand, mayWait)
         if (decision is PlacementDecision.Await) awaited[request.id] = AwaitedUpstream(decision, nowMillis)
+        request.heldBy = if (decision is PlacementDecision.Await) HoldReason.AWAITS_BEST else HoldReason.NO_ROOM
         val choice = (decision as? PlacementDecision.Send)?.choice ?: return false
         withdraw(request)
         paceOf(request.service, usable, nowMillis)?.sent(choice.cost)
@@ -244,12 +277,13 @@
         return true
     }
 
-    /** Returns whether [request] is left queued because of what waits in the engines, or on other hosts. */
-    private fun isHeldBack(nowMillis: Long, request: DispatchedRequest): Boolean {
+    /** Returns why [request] is left queued because of what waits in the engines, or on other hosts; null if it isn't. */
+    private fun heldBackBy(nowMillis: Long, request: DispatchedRequest): HoldReason? {
         val isDue = request.rank == WaitingRank.DUE
         val parts = if (isDue) DUE_LIMIT_PARTS else 1.0
-        if (request.demand != null && isPendingLimitReached(request.service, nowMillis, parts)) return true
-        return !isDue && request.workspaceId?.let { accounts.backlog.shouldYield(nowMillis, it) } == true
+        if (request.demand != null && isPendingLimitReached(request.service, nowMillis, parts)) return HoldReason.PENDING_LIMIT
+        val yields = !isDue && request.workspaceId?.let { accounts.backlog.shouldYield(nowMillis, it) } == true
+        return if (yields) HoldReason.YIELDING else null
     }
 
     private fun isPendingLimitReached(service: ServiceId, nowMillis: Long, parts: Double): Boolean {
--- a/core/src/test/kotlin/buckthornbay/core/admission/BusyHostTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/BusyHostTest.kt
@@ -54,6 +54,7 @@
         override val rank = WaitingRank.DUE
         override val triedUpstreams: Set<UpstreamId> = emptySet()
         override var queueEntry: QueuedRequest<DispatchedRequest>? = null
+        override var heldBy: HoldReason? = null
 
         override fun queueUntilMillis(): Long = QUEUE_MILLIS
 
--- a/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
@@ -52,6 +52,7 @@
         override val rank = WaitingRank.DUE
         override val triedUpstreams: Set<UpstreamId> = emptySet()
         override var queueEntry: QueuedRequest<DispatchedRequest>? = null
+        override var heldBy: HoldReason? = null
         private val queuedAtMillis = nowMillis
 
         override fun queueUntilMillis(): Long = queuedAtMillis + QUEUE_MILLIS
@@ -133,6 +134,18 @@
         assertEquals(demand.workTokens, startedWork.recentTokens(nowMillis, WorkspaceId("workspace")))
     }
 
+    @Test
+    fun aQueuedRequestTellsWhatKeepsItQueued() {
+        val noRoom = TestRequest("no room")
+        hasRoom = false
+        dispatcher.submit(noRoom)
+        assertEquals(HoldReason.NO_ROOM, noRoom.heldBy)
+        val limited = Dispatcher({ listOf(upstream) }, accounts, Placement(region), clock) { -1.0 }
+        val overLimit = TestRequest("over the limit", TokenDemand(100, 10, emptyList()))
+        limited.submit(overLimit)
+        assertEquals(HoldReason.PENDING_LIMIT, overLimit.heldBy)
+    }
+
     @Test
     fun requestsThatAPauseOutlastsAreRefusedWithTheTimeOfItsEnd() {
         pausedUntilMillis = QUEUE_MILLIS + 1
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -296,6 +296,7 @@
         override val triedUpstreams = LinkedHashSet<UpstreamId>()
         override val rank get() = if (failedBefore) WaitingRank.DUE else firstRank
         override var queueEntry: QueuedRequest<DispatchedRequest>? = null
+        override var heldBy: HoldReason? = null
 
         override fun queueUntilMillis() = if (triedUpstreams.isEmpty()) {
             host.admission.policy.queueUntilMillis(route, rank, arrivedAtMillis, caller.deadlineMillis)
--- a/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/load/HostPaceTest.kt
@@ -5,6 +5,7 @@
 import buckthornbay.core.admission.Dispatcher
 import buckthornbay.core.admission.FleetAccounts
 import buckthornbay.core.admission.FleetBacklog
+import buckthornbay.core.admission.HoldReason
 import buckthornbay.core.admission.QueuedRequest
 import buckthornbay.core.admission.WaitingRank
 import buckthornbay.core.admission.WorkspaceAccounts
@@ -39,6 +40,7 @@
         override val rank = WaitingRank.DUE
         override val triedUpstreams: Set<UpstreamId> = emptySet()
         override var queueEntry: QueuedRequest<DispatchedRequest>? = null
+        override var heldBy: HoldReason? = null
 
         override fun queueUntilMillis(): Long = Long.MAX_VALUE
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -1,5 +1,6 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.admission.HoldReason
 import io.netty.handler.codec.http.HttpResponseStatus
 
 /** The reply to one caller: a refusal or a complete response of an upstream. */
@@ -12,8 +13,9 @@
      * Refuses the request: states that it has not run and will not run, and when the caller may repeat it.
      *
      * @param retryAfterMillis time after which the cause of the refusal ends, in milliseconds; null if it depends on the load.
+     * @param heldBy what kept the request queued before; null if it was not queued.
      */
-    fun refuse(reason: String, retryAfterMillis: Long? = null) {
+    fun refuse(reason: String, retryAfterMillis: Long? = null, heldBy: HoldReason? = null) {
         val nowMillis = context.clock.nowMillis()
         val leftMillis = terms.callerDeadlineAtMillis - nowMillis
         val policy = context.admission.policy
@@ -25,7 +27,8 @@
         }
         context.admission.refused(nowMillis, terms.workspace, terms.demand, terms.rank)
         context.metrics.recordRefusedTokens(terms)
-        context.log.refused(terms, reason, refusalInputs(nowMillis, retryAfterSeconds))
+        context.metrics.refused(terms.service, heldBy)
+        context.log.refused(terms, reason, refusalInputs(nowMillis, heldBy, retryAfterSeconds))
         caller.fail(HttpResponseStatus.SERVICE_UNAVAILABLE, "not run: $reason", retryAfterSeconds)
     }
 
@@ -50,7 +53,7 @@
             .addListener { answer.memory.release() }
     }
 
-    private fun refusalInputs(nowMillis: Long, retryAfterSeconds: String) = RefusalInputs(
+    private fun refusalInputs(nowMillis: Long, heldBy: HoldReason?, retryAfterSeconds: String) = RefusalInputs(
         waitingCount = context.dispatcher.waitingCount,
         demandTokensPerSecond =
         terms.workspace?.let { context.admission.shares.demandTokensPerSecond(nowMillis, it) } ?: 0.0,
@@ -58,6 +61,7 @@
         shareTokensPerSecond = context.admission.shares.shareTokensPerSecond(nowMillis),
         waitingElsewhere = context.accounts.backlog.waitingCount(nowMillis),
         capacity = context.dispatcher.capacityOf(terms.service),
+        heldBy = heldBy,
         retryAfterSeconds = retryAfterSeconds,
     )
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -3,6 +3,7 @@
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.CapacityView
 import buckthornbay.core.admission.EngineWork
+import buckthornbay.core.admission.HoldReason
 import buckthornbay.core.load.Choice
 import buckthornbay.core.load.RateLimitChange
 import buckthornbay.core.request.ConnectionEnd
@@ -57,8 +58,10 @@
             "share_tokens_per_s=${inputs.shareTokensPerSecond?.toLong()} waiting_elsewhere=${inputs.waitingElsewhere} " +
             inputs.capacity.run {
                 "upstreams=$upstreams reporting=$reportingUpstreams free_slots=$freeSlots " +
-                    "allowed_per_s=${allowedPerSecond.toLong()} "
-            } + "retry_after_s=${inputs.retryAfterSeconds} " +
+                    "allowed_per_s=${allowedPerSecond.toLong()} pending_tokens=${pendingTokens.toLong()} " +
+                    "pending_limit=${pendingLimitTokens.toLong()} fleet_pending_tokens=${fleetWork.pendingTokens.toLong()} " +
+                    "fleet_begun_tokens_per_s=${fleetWork.begunTokensPerSecond.toLong()} "
+            } + "held_by=${inputs.heldBy} retry_after_s=${inputs.retryAfterSeconds} " +
             "reason=\"$reason\" ${versionFields()}"
     }
 
@@ -138,6 +141,7 @@
  * @property waitingElsewhere workspaces that are queued on other hosts.
  * @property capacity what this host assumes about the upstreams of the service.
  * @property shareTokensPerSecond fair share of a workspace, in tokens per second; null while the demand of all can be met.
+ * @property heldBy what kept the request queued before; null if it was not queued.
  * @property retryAfterSeconds the Retry-After value sent to the caller.
  */
 internal class RefusalInputs(
@@ -147,6 +151,7 @@
     val shareTokensPerSecond: Double?,
     val waitingElsewhere: Int,
     val capacity: CapacityView,
+    val heldBy: HoldReason?,
     val retryAfterSeconds: String,
 )
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayMetrics.kt
@@ -2,6 +2,7 @@
 
 import buckthornbay.core.Clock
 import buckthornbay.core.admission.BufferBudget
+import buckthornbay.core.admission.HoldReason
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
 import buckthornbay.core.request.ResponseEnd
@@ -25,6 +26,7 @@
     private val connections = registry.counter("buckthornbay.upstream.connections.opened")
     private val tokens = HashMap<String, Counter>()
     private val timers = HashMap<String, Timer>()
+    private val refusals = HashMap<String, Counter>()
 
     private val failedAttempts = FailureKind.entries.associateWith { kind ->
         registry.counter("buckthornbay.upstream.attempts.failed", "kind", kind.name.lowercase())
@@ -116,6 +118,14 @@
     /** Records that a task of the event loop ran [lateMillis] after its time. */
     fun eventLoopDelay(lateMillis: Long) = eventLoopDelay.record(lateMillis, TimeUnit.MILLISECONDS)
 
+    /** Records that a request for [service] is refused that was queued because of [heldBy]; null if it was not queued. */
+    fun refused(service: ServiceId, heldBy: HoldReason?) {
+        val cause = heldBy?.name?.lowercase() ?: "not_queued"
+        refusals.getOrPut("$service|$cause") {
+            registry.counter("buckthornbay.requests.refused", "service", service.value, "held_by", cause)
+        }.increment()
+    }
+
     /** Records the tokens of a request that is refused. */
     fun recordRefusedTokens(terms: RequestTerms) = countTokens("refused", terms)
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -1,6 +1,7 @@
 package buckthornbay.router.gateway
 
 import buckthornbay.core.admission.DispatchedRequest
+import buckthornbay.core.admission.HoldReason
 import buckthornbay.core.admission.QueuedRequest
 import buckthornbay.core.admission.WaitingRank
 import buckthornbay.core.load.Choice
@@ -89,6 +90,7 @@
     override val triedUpstreams = LinkedHashSet<UpstreamId>()
 
     override var queueEntry: QueuedRequest<DispatchedRequest>? = null
+    override var heldBy: HoldReason? = null
 
     /** Starts the deadline timer and queues the request. */
     fun start() {
@@ -329,7 +331,7 @@
 
     private fun endWith(end: RequestEnd, reason: String, retryAfterMillis: Long? = null) = endUnanswered(reason) {
         if (end == RequestEnd.NOT_RUN) {
-            reply.refuse(reason, retryAfterMillis)
+            reply.refuse(reason, retryAfterMillis, heldBy)
         } else {
             caller.fail(HttpResponseStatus.BAD_GATEWAY, "the upstream failed: $reason")
         }
