Reproduce workspaces that are held back while engines are free

SimulatedFleet learns outages of engines, restarts of hosts, uneven engines and prompts, and counts what became of requests.

--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedEngine.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedEngine.kt
@@ -2,6 +2,7 @@
 
 import buckthornbay.core.load.LoadReport
 import buckthornbay.core.load.TokenDemand
+import org.apache.commons.rng.simple.RandomSource
 
 /**
  * Properties of the engines of a [SimulatedFleet].
@@ -9,8 +10,47 @@
  * @property slots requests that an engine executes at once.
  * @property stepMillis time of one decoding step without prefill, in milliseconds.
  * @property prefillTokensPerMilli prefill throughput, in tokens per millisecond.
+ * @property stepMillisPerSlot additional time of a step for each request that is executed, in milliseconds.
+ * @property firstTokenMillis time from the end of prefill to the first token, in milliseconds.
+ * @property unevenness differences in speed among the engines; null if all have the same speed.
  */
-class EngineShape(val count: Int, val slots: Int, val stepMillis: Double, val prefillTokensPerMilli: Double)
+class EngineShape(
+    val count: Int,
+    val slots: Int,
+    val stepMillis: Double,
+    val prefillTokensPerMilli: Double,
+    val stepMillisPerSlot: Double = 0.0,
+    val firstTokenMillis: Double = 0.0,
+    val unevenness: Unevenness? = null,
+)
+
+/**
+ * Differences in speed among engines.
+ *
+ * @property speeds speeds of the engines, which take turns.
+ * @property slowShare share of the time in which other work on an engine's machine slows it.
+ * @property slowFactor how many times as long work takes then.
+ * @property periodMillis length of such a time, in milliseconds.
+ */
+class Unevenness(val speeds: List<Double>, val slowShare: Double, val slowFactor: Double, val periodMillis: Long)
+
+/** The speeds of [engines] engines with an [unevenness] over time, which follow from [seed]. */
+class EngineSpeeds(private val unevenness: Unevenness, engines: Int, seed: Long) {
+    private val random = RandomSource.SPLIT_MIX_64.create(seed)
+    private val periods = List(engines) { List(MAX_PERIODS) { random.nextDouble() < unevenness.slowShare } }
+    private val offsets = List(engines) { random.nextDouble() * unevenness.periodMillis }
+
+    /** Returns how many times as long work takes at [engine] at [millis]. */
+    fun slowdownAt(engine: Int, millis: Double): Double {
+        val period = ((millis + offsets[engine]) / unevenness.periodMillis).toInt()
+        val factor = if (periods[engine][period % MAX_PERIODS]) unevenness.slowFactor else 1.0
+        return factor / unevenness.speeds[engine % unevenness.speeds.size]
+    }
+
+    private companion object {
+        const val MAX_PERIODS = 100
+    }
+}
 
 /** A request at a [SimulatedEngine]; the functions are called when it progresses. */
 class EngineRun(
@@ -43,6 +83,10 @@
     }
     private var stepping = false
 
+    /** Whether the engine refuses connections. */
+    var isStopped = false
+        private set
+
     /** Number of crashes; steps that were scheduled before the last one don't count. */
     private var crashes = 0
 
@@ -65,6 +109,17 @@
         dropped.forEach { it.onCrash() }
     }
 
+    /** Drops all requests and the cache, and refuses connections until it is restarted. */
+    fun stop() {
+        isStopped = true
+        crash()
+    }
+
+    /** Accepts requests again. */
+    fun restart() {
+        isStopped = false
+    }
+
     private fun step() {
         while (running.size < shape.slots && waiting.isNotEmpty()) running += waiting.removeFirst().also(::admit)
         stepping = running.isNotEmpty()
@@ -79,12 +134,14 @@
             chunkLeft -= tokens
             if (run.prefillLeft <= 0) prefilled += run
         }
-        val stepMillis = (shape.stepMillis + (CHUNK_TOKENS - chunkLeft) / shape.prefillTokensPerMilli) * slowdown()
+        val prefillMillis = (CHUNK_TOKENS - chunkLeft) / shape.prefillTokensPerMilli
+        val stepMillis = (shape.stepMillis + shape.stepMillisPerSlot * running.size + prefillMillis) * slowdown()
         val crashesBefore = crashes
         schedule(stepMillis) {
             if (crashes != crashesBefore) return@schedule
             decoding.forEach(::decode)
-            prefilled.forEach { it.onStart(LoadReport(running.size, waiting.size, shape.slots, slowdown())) }
+            val report = LoadReport(running.size, waiting.size, shape.slots, slowdown())
+            for (run in prefilled) schedule(shape.firstTokenMillis) { run.onStart(report) }
             step()
         }
     }
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -30,6 +30,8 @@
  *
  * @property perSecond requests of all callers at usual load, per second.
  * @property sharedParts number of different shared prompt parts.
+ * @property spread standard deviation of the logarithm of the prompt length.
+ * @property maxOwnTokens longest prompt without the shared part, in tokens.
  */
 class TrafficClass(
     val name: String,
@@ -40,6 +42,8 @@
     val sharedParts: Int,
     val ownTokens: Int,
     val outputTokens: Int,
+    val spread: Double = 0.8,
+    val maxOwnTokens: Int = 50_000,
 )
 
 /** Long, short and very short answers at the usual load of a large fleet. */
@@ -58,8 +62,18 @@
 /** A crash of [engines] at [atMillis]: what they execute and queue fails, and they start again with empty caches. */
 class EngineCrash(val engines: List<Int>, val atMillis: Long)
 
+/** A time from [fromMillis] to [untilMillis] in which [engines] refuse connections; they lose all requests and their caches. */
+class EngineOutage(val engines: List<Int>, val fromMillis: Long, val untilMillis: Long)
+
+/** A restart of [hosts], which end at [atMillis], forget everything and accept requests again from [backAtMillis] on. */
+class HostRestart(val hosts: List<Int>, val atMillis: Long, val backAtMillis: Long)
+
 /** What happens to the engines of a [SimulatedFleet] during a run. */
-class EngineFaults(val slowSpells: List<SlowSpell> = emptyList(), val crashes: List<EngineCrash> = emptyList()) {
+class EngineFaults(
+    val slowSpells: List<SlowSpell> = emptyList(),
+    val crashes: List<EngineCrash> = emptyList(),
+    val outages: List<EngineOutage> = emptyList(),
+) {
     /** Returns how many times as long work takes at [millis]. */
     fun slowdownAt(millis: Double): Double =
         slowSpells.filter { millis >= it.fromMillis && millis < it.untilMillis }.maxOfOrNull { it.factor } ?: 1.0
@@ -92,6 +106,16 @@
     val waitsMillis = ArrayList<Double>()
 }
 
+/** What became of the requests whose callers sent them first in one second. */
+class SecondOfCallers {
+    var sent = 0
+    var inTime = 0
+    var late = 0
+
+    /** Refusals of these requests, with those after which the callers came back and were served. */
+    var refusals = 0
+}
+
 /** Hosts, engines and callers of a fleet in virtual time; the hosts run the scheduling of the gateway. */
 class SimulatedFleet(
     private val engineShape: EngineShape,
@@ -99,6 +123,7 @@
     seed: Long,
     private val hostCount: Int = HOSTS,
     private val faults: EngineFaults = EngineFaults(),
+    private val restarts: List<HostRestart> = emptyList(),
 ) {
     private class Event(val atMillis: Double, val sequence: Long, val action: () -> Unit)
 
@@ -109,9 +134,11 @@
     private var timeMillis = 0.0
     private val clock = Clock { timeMillis.toLong() }
     private val zones = minOf(ZONES, hostCount)
-    private val hosts = List(hostCount) { SimulatedHost(it) }
-    private val engines = List(engineShape.count) {
-        SimulatedEngine(engineShape, { faults.slowdownAt(timeMillis) }, ::schedule)
+    private val hosts = MutableList(hostCount) { SimulatedHost(it) }
+    private val unevenness = engineShape.unevenness?.let { EngineSpeeds(it, engineShape.count, seed) }
+    private val engines = List(engineShape.count) { engine ->
+        val slowdown = { faults.slowdownAt(timeMillis) * (unevenness?.slowdownAt(engine, timeMillis) ?: 1.0) }
+        SimulatedEngine(engineShape, slowdown, ::schedule)
     }
     private val callerHosts = List(zones) { zone -> List(CALLERS_PER_ZONE) { random.nextInt(hostCount / zones) * zones + zone } }
 
@@ -120,12 +147,17 @@
 
     /** What happened at the engines, by second. */
     val engineSeconds = List(MAX_SECONDS) { SecondOfEngines() }
+
+    /** What became of the requests, by the second in which they were sent first. */
+    val callerSeconds = List(MAX_SECONDS) { SecondOfCallers() }
     var largestRequestTokens = 0.0
         private set
 
     fun run(seconds: Int) {
         hosts.forEach { it.start() }
         for (crash in faults.crashes) schedule(crash.atMillis.toDouble()) { crash.engines.forEach { engines[it].crash() } }
+        faults.outages.forEach(::scheduleOutage)
+        restarts.forEach(::scheduleRestart)
         for (workspace in 0 until plan.workspaces) for (kind in plan.classes) scheduleArrival(workspace, kind)
         while (timeMillis < seconds * MILLIS_PER_SECOND) {
             val event = events.poll()
@@ -147,11 +179,29 @@
             val home = plan.hostsOfWorkspace(workspace)?.let { it[random.nextInt(it.size)] }
                 ?: callerHosts[random.nextInt(zones)][random.nextInt(CALLERS_PER_ZONE)]
             SimulatedCaller(workspace, kind, demandOf(kind), clock.nowMillis() + kind.timeoutMillis)
-                .send(hosts[home], retriesLeft = 1)
+                .send(runningHost(home), retriesLeft = 1)
             scheduleArrival(workspace, kind)
         }
     }
 
+    private fun scheduleOutage(outage: EngineOutage) {
+        schedule(outage.fromMillis.toDouble()) { outage.engines.forEach { engines[it].stop() } }
+        schedule(outage.untilMillis.toDouble()) { outage.engines.forEach { engines[it].restart() } }
+    }
+
+    private fun scheduleRestart(restart: HostRestart) {
+        schedule(restart.atMillis.toDouble()) { restart.hosts.forEach { hosts[it].isRunning = false } }
+        schedule(restart.backAtMillis.toDouble()) {
+            for (index in restart.hosts) hosts[index] = SimulatedHost(index).also { it.start() }
+        }
+    }
+
+    /** Returns the host [index], or another one of its zone while that one is not running. */
+    private fun runningHost(index: Int): SimulatedHost =
+        generateSequence(index) { (it + zones) % hostCount }.take(hostCount).map { hosts[it] }.first { it.isRunning }
+
+    private val runningMembers: List<Member> get() = hosts.filter { it.isRunning }.map { it.self }
+
     private fun weightOf(workspace: Int): Double {
         val weights = (1..plan.workspaces).map { 1.0 / (it + 1) }
         return weights[workspace] / weights.sum()
@@ -162,10 +212,10 @@
         .maxOfOrNull { it.factor } ?: 1.0
 
     private fun demandOf(kind: TrafficClass): TokenDemand {
-        val own = kind.ownTokens * exp(SPREAD * gaussian.sample() - SPREAD * SPREAD / 2)
+        val own = kind.ownTokens * exp(kind.spread * gaussian.sample() - kind.spread * kind.spread / 2)
         val parts = listOf(
             PromptPart("${kind.name}-${random.nextInt(kind.sharedParts)}", kind.sharedTokens),
-            PromptPart("own-${sequence++}", own.toInt().coerceIn(1, MAX_OWN_TOKENS)),
+            PromptPart("own-${sequence++}", own.toInt().coerceIn(1, kind.maxOwnTokens)),
         )
         return TokenDemand(parts.sumOf { it.tokens }, kind.outputTokens, parts)
     }
@@ -196,6 +246,13 @@
             maxAttempts = 2, public = false, prefixAffinity = true, resumable = true, longestPauseMillis = 400, priority = 1,
         )
 
+        private val firstSentAtMillis = timeMillis
+        private val outcomes = callerSeconds[second].also { it.sent++ }
+
+        fun responseBegan() {
+            if (timeMillis - firstSentAtMillis <= kind.objectiveMillis) outcomes.inTime++ else outcomes.late++
+        }
+
         fun send(host: SimulatedHost, retriesLeft: Int) {
             secondOf(workspace).askedTokens += demand.workTokens
             largestRequestTokens = maxOf(largestRequestTokens, demand.workTokens)
@@ -204,27 +261,29 @@
 
         fun refused(host: SimulatedHost, retryAfterMillis: Double, retriesLeft: Int) {
             secondOf(workspace).heldBack = true
+            outcomes.refusals++
             if (retriesLeft == 0) return
             schedule(retryAfterMillis) {
-                if (clock.nowMillis() < deadlineMillis) send(host, retriesLeft - 1)
+                if (clock.nowMillis() < deadlineMillis) send(runningHost(host.index), retriesLeft - 1)
             }
         }
     }
 
     /** One host with the scheduling of the gateway and no network. */
-    private inner class SimulatedHost(index: Int) {
+    private inner class SimulatedHost(val index: Int) {
+        var isRunning = true
         val zone = index % zones
-        private val self = Member(HostId("host-$index"), "url-$index", regionOf(zone), ZoneId("zone-$zone"), 1)
+        val self = Member(HostId("host-$index"), "url-$index", regionOf(zone), ZoneId("zone-$zone"), 1)
         private val started = FleetAccounts(timeConstantMillis = 4_000.0)
         private val requested = FleetAccounts(timeConstantMillis = 1_200.0)
         private val backlog = FleetBacklog(started)
         private val accounts: WorkspaceAccounts =
             WorkspaceAccounts(started, requested, backlog, clock) { dispatcher.workspacesWaitingFor(it) }
         private val window = EngineWindow(accounts.engineWork, { hostCount }) { engineShape.count }
-        private val aggregation = AccountsAggregation(self, accounts) { hosts.map { it.self } }
+        private val aggregation = AccountsAggregation(self, accounts) { runningMembers }
         val admission = Admission(
             AdmissionPolicy(random),
-            FairShares(requested, ZoneHostOrder(self) { hosts.map { it.self } }).apply { tokensPerSecond = plan.tokensPerSecond },
+            FairShares(requested, ZoneHostOrder(self) { runningMembers }).apply { tokensPerSecond = plan.tokensPerSecond },
             CallerRetryTracker(),
         )
         private val candidates = List(engineShape.count) { engine ->
@@ -248,6 +307,7 @@
         }
 
         private fun exchangeAccounts() {
+            if (!isRunning) return
             for (target in aggregation.targets()) {
                 val peer = hosts.first { it.self == target }
                 val sent = aggregation.accountsFor(target)
@@ -261,11 +321,13 @@
         }
 
         private fun maintain() {
+            if (!isRunning) return
             dispatcher.placeAll()
             schedule(MAINTENANCE_MILLIS) { maintain() }
         }
 
         fun receive(caller: SimulatedCaller, route: Route, retriesLeft: Int) {
+            if (!isRunning) return
             val workspace = WorkspaceId("workspace-${caller.workspace}")
             val nowMillis = clock.nowMillis()
             val fingerprint = RequestFingerprint(route.name, workspace, caller.demand)
@@ -317,7 +379,7 @@
         }
 
         private fun queueTimeout(entry: QueuedRequest<DispatchedRequest>) {
-            if (queueEntry !== entry) return
+            if (queueEntry !== entry || !host.isRunning) return
             host.dispatcher.place(service)
             if (queueEntry !== entry) return
             host.dispatcher.withdraw(this)
@@ -341,13 +403,14 @@
             engineSeconds[second].sentTokens += demand.workTokens
             val sentAtMillis = timeMillis
             var lastEventMillis = -1L
-            fun atHost(action: () -> Unit) = schedule(networkMillis, action)
+            fun atHost(action: () -> Unit) = schedule(networkMillis) { if (host.isRunning) action() }
             val run = EngineRun(
                 demand,
                 caller.kind.outputTokens,
                 copied = choice.copyFrom != null,
                 onStart = { report ->
                     begun = true
+                    caller.responseBegan()
                     secondOf(caller.workspace).begunTokens += demand.workTokens
                     engineSeconds[second].begunTokens += demand.workTokens
                     engineSeconds[second].waitsMillis += timeMillis - sentAtMillis
@@ -375,7 +438,12 @@
                 },
             )
             schedule(networkMillis) {
-                if (!engines[engine].accept(run)) {
+                if (engines[engine].isStopped) {
+                    atHost {
+                        ended(upstream, SendOutcome.UNREACHABLE)
+                        resend("the upstreams can't be reached")
+                    }
+                } else if (!engines[engine].accept(run)) {
                     atHost {
                         ended(upstream, SendOutcome.REFUSED)
                         resend("the upstreams are full")
@@ -409,10 +477,5 @@
         private const val MAINTENANCE_MILLIS = 200.0
         private const val REDRAW_MILLIS = 500.0
         private const val MAX_SENDS = 4
-
-        private const val MAX_OWN_TOKENS = 50_000
-
-        /** Standard deviation of the logarithm of the prompt length. */
-        private const val SPREAD = 0.8
     }
 }
