Divide what the engines can begin, and draw each request for the share of its workspace

What callers saw: a workspace that had surged, or whose callers use one host, asked all through and got less than half of what others got, while three of four engine slots were free; late work was served in an overload where work in time was refused.

Cause: shares were kept by memory and by parts. The stated throughput was divided, and what engines did beyond it went by a ledger of four seconds, so that workspaces had debts and newcomers advances. Each of 72 hosts had a part of each share that was a fraction of one request. Refused callers who came back late were ranked behind everything beyond any share. The limit to pending work was a part of what began and so lowered itself.

Now EngineCapacity estimates what the engines of a large fleet can begin; the max-min share follows from the demand at present; a request of a workspace beyond its share is due with the probability share / demand, corrected by what began in the last second; late requests get the rest of that share.

--- a/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/AccountsAggregation.kt
@@ -21,6 +21,9 @@
     public val engineWork: EngineWorkAccounts = EngineWorkAccounts(),
     private val waitingFor: (Long) -> Set<WorkspaceId>,
 ) {
+    /** The demand of the workspaces, with the accounts of requested and started work. */
+    public val demand: WorkspaceDemand = WorkspaceDemand(requestedWork, startedWork)
+
     /** Returns the workspaces that have had a request queued on this host for at least [millis] milliseconds. */
     public fun waiting(millis: Long = 0): Set<WorkspaceId> = waitingFor(millis)
 }
@@ -40,6 +43,8 @@
  * @property waiting workspaces that have requests queued there.
  * @property store what the sender knows of the store; carried by one entry of each message.
  * @property engineWork work that was sent to engines from there, by service.
+ * @property punctualDemand work requested at present by requests that can meet their objective, in tokens by workspace.
+ * @property lateDemand the same for requests that have missed it.
  */
 @Serializable
 public data class SourceAccounts(
@@ -50,6 +55,8 @@
     @SerialName("w") public val waiting: Set<WorkspaceId>,
     @SerialName("k") public val store: StoreStatement? = null,
     @SerialName("e") public val engineWork: Map<ServiceId, EngineWork> = emptyMap(),
+    @SerialName("p") public val punctualDemand: Map<WorkspaceId, Long> = emptyMap(),
+    @SerialName("l") public val lateDemand: Map<WorkspaceId, Long> = emptyMap(),
 )
 
 /**
@@ -96,6 +103,8 @@
         val nowMillis = clock.nowMillis()
         accounts.startedWork.putSnapshot(nowMillis, received.source, received.startedWork.toTokens())
         accounts.requestedWork.putSnapshot(nowMillis, received.source, received.requestedWork.toTokens())
+        accounts.demand.punctual.putSnapshot(nowMillis, received.source, received.punctualDemand.toTokens())
+        accounts.demand.late.putSnapshot(nowMillis, received.source, received.lateDemand.toTokens())
         accounts.engineWork.putSnapshot(nowMillis, received.source, received.engineWork)
         accounts.backlog.receive(nowMillis, HostId(received.source), received.waiting)
     }
@@ -121,6 +130,8 @@
             accounts.requestedWork.snapshotOf(nowMillis, source).toWholeTokens(),
             accounts.backlog.waitingAt(nowMillis, HostId(source)),
             engineWork = accounts.engineWork.sumOf(nowMillis, withOwn = false) { it == source },
+            punctualDemand = accounts.demand.punctual.snapshotOf(nowMillis, source).toWholeTokens(),
+            lateDemand = accounts.demand.late.snapshotOf(nowMillis, source).toWholeTokens(),
         )
     }
 
@@ -135,6 +146,8 @@
             accounts.requestedWork.recentOf(nowMillis, withOwn, include).toWholeTokens(),
             ownWaiting + accounts.backlog.waitingWhere(nowMillis) { include(it.value) },
             engineWork = accounts.engineWork.sumOf(nowMillis, withOwn, include),
+            punctualDemand = accounts.demand.punctual.recentOf(nowMillis, withOwn, include).toWholeTokens(),
+            lateDemand = accounts.demand.late.recentOf(nowMillis, withOwn, include).toWholeTokens(),
         )
     }
 
--- a/core/src/main/kotlin/buckthornbay/core/admission/Admission.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Admission.kt
@@ -17,7 +17,7 @@
     /**
      * Records the [demand] of a request for its [workspace] and returns the priority class of the request.
      *
-     * Only a request that is due takes from the share of the workspace: a late one is served behind others, whatever is left.
+     * A late request is due if requests that can be in time leave some of the share of the workspace.
      *
      * @param waitedMillis time since the caller's first attempt, in milliseconds.
      */
@@ -29,18 +29,11 @@
         waitedMillis: Long,
     ): WaitingRank {
         if (workspace == null || demand == null) return WaitingRank.DUE
-        if (waitedMillis >= (route.objectiveMillis ?: Long.MAX_VALUE)) {
-            shares.recordDemand(nowMillis, workspace, demand.workTokens)
-            return WaitingRank.LATE
-        }
-        val isWithinShare = shares.tryAcquire(nowMillis, workspace, demand.workTokens)
-        return if (isWithinShare) WaitingRank.DUE else WaitingRank.BEYOND_SHARE
-    }
-
-    /** Gives back what a request of [rank] took from the share of its [workspace], because it is refused. */
-    public fun refused(nowMillis: Long, workspace: WorkspaceId?, demand: TokenDemand?, rank: WaitingRank) {
-        if (workspace != null && demand != null && rank == WaitingRank.DUE) {
-            shares.release(nowMillis, workspace, demand.workTokens)
+        val isLate = waitedMillis >= (route.objectiveMillis ?: Long.MAX_VALUE)
+        return when {
+            shares.tryAcquire(nowMillis, workspace, demand.workTokens, isLate) -> WaitingRank.DUE
+            isLate -> WaitingRank.LATE
+            else -> WaitingRank.BEYOND_SHARE
         }
     }
 }
--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -280,7 +280,7 @@
     /** Returns why [request] is left queued because of what waits in the engines, or on other hosts; null if it isn't. */
     private fun heldBackBy(nowMillis: Long, request: DispatchedRequest): HoldReason? {
         val isDue = request.rank == WaitingRank.DUE
-        val parts = if (isDue) DUE_LIMIT_PARTS else 1.0
+        val parts = if (isDue) DUE_LIMIT_PARTS else BEYOND_SHARE_LIMIT_PARTS
         if (request.demand != null && isPendingLimitReached(request.service, nowMillis, parts)) return HoldReason.PENDING_LIMIT
         val yields = !isDue && request.workspaceId?.let { accounts.backlog.shouldYield(nowMillis, it) } == true
         return if (yields) HoldReason.YIELDING else null
@@ -324,6 +324,12 @@
          */
         const val DUE_LIMIT_PARTS = 2.5
 
+        /**
+         * Work that this host may have pending before a request beyond a share has to wait, in parts of the limit: little, as
+         * the shares divide what the engines can do, and what they leave is the error of the estimate.
+         */
+        const val BEYOND_SHARE_LIMIT_PARTS = 0.3
+
         /** Minimum time between two computations of the limit to pending work, in milliseconds; peers report less often. */
         const val LIMIT_REFRESH_MILLIS = 50L
 
--- a/core/src/main/kotlin/buckthornbay/core/admission/EngineWindow.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/EngineWindow.kt
@@ -7,21 +7,24 @@
  *
  * Load: engines that begin less work than the fleet assumes, because they are slow, have crashed or have long queues, and
  * workspaces that ask for more than all engines begin. Engines serve in order of arrival and know no workspaces, so whatever
- * waits there can't be ordered any more. All hosts together therefore have as much work pending as begins in
- * [EngineWindowSettings.targetWaitMillis]; the rest waits at the hosts. This needs no knowledge of the engines' speed: each
- * response that begins makes room for the next request, and slower engines begin fewer.
+ * waits there can't be ordered any more. All hosts together therefore have as much work pending as the engines can begin in
+ * [EngineWindowSettings.targetWaitMillis]; the rest waits at the hosts. What engines can begin is the estimate of
+ * [EngineCapacity]: a limit by what they do begin would lower itself while they are asked for little.
  *
  * In a small fleet nothing is limited here: each host has enough responses of each engine to limit it by itself, and a part of a
  * few requests would leave engines idle.
  *
  * @param work the work that all hosts have sent to the engines.
  * @param hostCount returns the number of live hosts of the fleet.
+ * @param capacity returns the throughput of the engines of all services, in tokens per second; null if it is unknown, so that the
+ * limit follows from what begins.
  * @param engineCount returns the number of engines of a service that may be used.
  */
 public class EngineWindow(
     private val work: EngineWorkAccounts,
     private val hostCount: () -> Int,
     private val settings: EngineWindowSettings = EngineWindowSettings(),
+    private val capacity: (nowMillis: Long) -> Double? = { null },
     private val engineCount: (ServiceId) -> Int,
 ) {
     /**
@@ -36,16 +39,23 @@
         val hosts = hostCount()
         if (hosts <= MAX_HOSTS_LIMITED_BY_ENGINES) return Double.MAX_VALUE
         val fleet = work.fleetWork(nowMillis, service)
-        val limit = fleetTokens(service, fleet)
+        val limit = fleetTokens(nowMillis, service, fleet)
         val unused = (limit - fleet.pendingTokens).coerceAtLeast(0.0)
         return limit * hostFraction + unused * settings.unusedParts / hosts
     }
 
-    private fun fleetTokens(service: ServiceId, fleet: EngineWork): Double = maxOf(
-        fleet.begunTokensPerSecond * settings.targetWaitMillis / MILLIS_PER_SECOND,
+    private fun fleetTokens(nowMillis: Long, service: ServiceId, fleet: EngineWork): Double = maxOf(
+        tokensPerSecond(nowMillis, fleet) * settings.targetWaitMillis / MILLIS_PER_SECOND,
         settings.minTokensPerEngine * engineCount(service),
     )
 
+    /** Returns what the engines of a service can begin, which is the part of the capacity that they begin at present. */
+    private fun tokensPerSecond(nowMillis: Long, fleet: EngineWork): Double {
+        val ofAll = capacity(nowMillis) ?: return fleet.begunTokensPerSecond
+        val begunByAll = work.fleetWork(nowMillis).begunTokensPerSecond
+        return if (begunByAll > 0) ofAll * fleet.begunTokensPerSecond / begunByAll else ofAll
+    }
+
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
     }
--- a/core/src/main/kotlin/buckthornbay/core/admission/EngineWorkAccounts.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/EngineWorkAccounts.kt
@@ -93,6 +93,10 @@
     public fun fleetWork(nowMillis: Long, service: ServiceId): EngineWork =
         sumOf(nowMillis, withOwn = true) { true }[service] ?: EngineWork()
 
+    /** Returns the work that all hosts have sent to the engines of all services. */
+    public fun fleetWork(nowMillis: Long): EngineWork =
+        sumOf(nowMillis, withOwn = true) { true }.values.fold(EngineWork(), EngineWork::plus)
+
     private fun ownOf(service: ServiceId) = own.getOrPut(service) { OwnWork() }
 
     private fun decayed(nowMillis: Long, work: OwnWork): Double =
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairQueue.kt
@@ -4,13 +4,13 @@
 
 /** Priority classes of queued requests, highest first. */
 public enum class WaitingRank {
-    /** The request is within its workspace's fair share and can still meet its objective. */
+    /** The request is within its workspace's fair share. */
     DUE,
 
     /** The request can still meet its objective, but its workspace exceeds its fair share. */
     BEYOND_SHARE,
 
-    /** The request has already missed its objective. */
+    /** The request has already missed its objective, and its workspace exceeds its fair share. */
     LATE,
 }
 
--- a/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/FairShares.kt
@@ -2,64 +2,71 @@
 
 import buckthornbay.core.load.DemandSegment
 import buckthornbay.protocol.WorkspaceId
+import org.apache.commons.rng.UniformRandomProvider
 
 /**
  * The fair shares of workspaces: the throughput of all engines, divided by max-min fairness.
  *
- * The shares follow from the demand of the workspaces on all hosts, so that a workspace whose demand suddenly multiplies does
- * not displace the others. Each host grants a workspace the fraction of its share that corresponds to the host's fraction of
- * the workspace's demand, enforced by a token bucket. Requests within the share are served first; the others use the remaining
- * capacity.
+ * Load: workspaces whose demand multiplies for seconds, one after the other, and whose callers use all hosts, or one.
  *
- * @param fleetDemand demand of the workspaces on all hosts.
+ * The shares follow from the demand of the workspaces on all hosts at present. Each request of a workspace that asks for more
+ * than its share is within the share with the probability at which the workspace gets just the share, whichever host it comes
+ * to. So hosts need no part of the share each, which is less than one request in a large fleet, and nothing that a workspace
+ * got or missed earlier counts. What engines began for it in the last second corrects the probability, because the demand at
+ * other hosts is known late.
+ *
+ * Requests within the share are served first; the others use the remaining capacity.
+ *
+ * @param demand demand and begun work of the workspaces on all hosts.
  * @param hosts live hosts of the fleet.
+ * @param random source of the draws.
+ * @param capacity returns the throughput that is divided, for the time in milliseconds and the stated throughput, both in tokens
+ * per second.
  */
 public class FairShares(
-    private val fleetDemand: FleetAccounts,
+    private val demand: WorkspaceDemand,
     private val hosts: HostOrder,
+    private val random: UniformRandomProvider,
     private val settings: FairShareSettings = FairShareSettings(),
+    private val capacity: (nowMillis: Long, stated: Double) -> Double = { _, stated -> stated },
 ) {
-    private class Bucket(var tokens: Double, var asOfMillis: Long)
-
     /** What all workspaces are owed, and the throughput that nobody demands, in tokens per second. */
     private class Division(val owedByAll: Double, val spare: Double) {
         /** Returns the part of the whole for hosts that are [owed] tokens per second and [evenFraction] of the spare. */
         fun fractionOf(owed: Double, evenFraction: Double): Double = (owed + spare * evenFraction) / (owedByAll + spare)
     }
 
-    private val buckets = HashMap<WorkspaceId, Bucket>()
+    private val fleetDemand: FleetAccounts get() = demand.requested
     private var fairShare = Double.MAX_VALUE
     private var hostFraction = 0.0
     private var division: Division? = null
     private var rates = emptyMap<WorkspaceId, Double>()
     private var fairShareAtMillis = Long.MIN_VALUE / 2
 
-    /** Total throughput of all engines, in tokens per second; null if unknown, in which case shares are unlimited. */
+    /** Throughput that the operator states, in tokens per second; null if unknown, so that shares are unlimited. */
     public var tokensPerSecond: Double? = null
 
-    /** Records a demand of [workspace] for [tokens] that takes nothing from its share. */
-    public fun recordDemand(nowMillis: Long, workspace: WorkspaceId, tokens: Double) {
-        fleetDemand.charge(nowMillis, workspace, tokens)
-    }
+    /** Returns the throughput that is divided at present, in tokens per second; null if the operator states none. */
+    public fun capacityTokensPerSecond(nowMillis: Long): Double? = tokensPerSecond?.let { capacity(nowMillis, it) }
 
-    /** Records a demand of [workspace] for [tokens] and returns whether it is within the workspace's fair share. */
-    public fun tryAcquire(nowMillis: Long, workspace: WorkspaceId, tokens: Double): Boolean {
-        recordDemand(nowMillis, workspace, tokens)
+    /**
+     * Records a demand of [workspace] for [tokens] and returns whether it is within the workspace's fair share.
+     *
+     * A request that [isLate] has missed its objective already, and gets what those that can be in time leave of the share.
+     */
+    public fun tryAcquire(nowMillis: Long, workspace: WorkspaceId, tokens: Double, isLate: Boolean = false): Boolean {
+        demand.charge(nowMillis, workspace, tokens, isLate)
         refreshFairShare(nowMillis)
-        if (fleetDemand.tokensPerSecond(nowMillis, workspace) <= fairShare) {
-            buckets.remove(workspace)
-            return true
-        }
-        val bucket = refill(nowMillis, workspace)
-        if (bucket.tokens <= 0) return false
-        bucket.tokens -= tokens
-        return true
+        val punctual = demand.punctual.tokensPerSecond(nowMillis, workspace)
+        val late = demand.late.tokensPerSecond(nowMillis, workspace)
+        if (punctual + late <= fairShare) return true
+        val owed = fairShare * correction(nowMillis, workspace)
+        return random.nextDouble() < if (isLate) (owed - punctual) / late else owed / punctual
     }
 
-    /** Gives back [tokens] that [tryAcquire] took from the share of [workspace]. */
-    public fun release(nowMillis: Long, workspace: WorkspaceId, tokens: Double) {
-        if (workspace in buckets) refill(nowMillis, workspace).tokens += tokens
-    }
+    /** Returns the factor to a share that makes up for what was begun above or below it in the last second, from 0 to 2. */
+    private fun correction(nowMillis: Long, workspace: WorkspaceId): Double =
+        (2.0 - demand.started.tokensPerSecond(nowMillis, workspace) / fairShare).coerceAtLeast(0.0)
 
     /** Returns the current upper bound of a workspace's share, in tokens per second; null while all demands can be met. */
     public fun shareTokensPerSecond(nowMillis: Long): Double? {
@@ -93,24 +100,13 @@
     public fun demandTokensPerSecond(nowMillis: Long, workspace: WorkspaceId): Double =
         fleetDemand.tokensPerSecond(nowMillis, workspace)
 
-    private fun refill(nowMillis: Long, workspace: WorkspaceId): Bucket {
-        val rate = fairShare * fleetDemand.ownFraction(nowMillis, workspace)
-        val capacity = rate * settings.burstSeconds
-        val bucket = buckets.getOrPut(workspace) { Bucket(capacity * settings.initialBurstFraction, nowMillis) }
-        val refilled = rate * (nowMillis - bucket.asOfMillis) / MILLIS_PER_SECOND
-        bucket.tokens = minOf(bucket.tokens + refilled, capacity)
-        bucket.asOfMillis = nowMillis
-        return bucket
-    }
-
     private fun refreshFairShare(nowMillis: Long) {
         if (nowMillis - fairShareAtMillis < settings.refreshMillis) return
         fairShareAtMillis = nowMillis
-        val capacity = tokensPerSecond
+        val divided = capacityTokensPerSecond(nowMillis)
         rates = fleetDemand.workspaces.associateWith { fleetDemand.tokensPerSecond(nowMillis, it) }
-        fairShare =
-            if (capacity == null) Double.MAX_VALUE else maxMinShare(rates.values.toList(), capacity * settings.capacityFactor)
-        division = capacity?.let {
+        fairShare = divided?.let { maxMinShare(demand.present(nowMillis), it * settings.capacityFactor) } ?: Double.MAX_VALUE
+        division = divided?.let {
             val owedByAll = owed(rates)
             Division(owedByAll, (it - owedByAll).coerceAtLeast(0.0))
         }
@@ -129,10 +125,6 @@
         val rate = rates[workspace] ?: tokensPerSecond
         tokensPerSecond * if (rate > fairShare) fairShare / rate else 1.0
     }
-
-    private companion object {
-        const val MILLIS_PER_SECOND = 1_000.0
-    }
 }
 
 /**
@@ -160,17 +152,12 @@
  * Constants of [FairShares].
  *
  * @property capacityFactor factor applied to the engines' throughput before it is divided.
- * @property burstSeconds capacity of a token bucket, in seconds of the workspace's share; shares are measured over four seconds.
- * @property initialBurstFraction initial fill level of a token bucket, when a workspace first exceeds its share; it has used
- * most of its burst by then.
  * @property minHostFraction least part of the engines' throughput that a host may use, relative to an even part; small, because
  * the parts of all hosts may add up to that much more than the whole.
  * @property refreshMillis minimum time between two computations of the share, in milliseconds; updates from peers take longer.
  */
 public data class FairShareSettings(
     public val capacityFactor: Double = 1.1,
-    public val burstSeconds: Double = 1.5,
-    public val initialBurstFraction: Double = 0.25,
     public val minHostFraction: Double = 0.25,
     public val refreshMillis: Long = 50,
 )
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -25,7 +25,6 @@
         terms.fingerprint?.let {
             context.admission.priorWaits.recordRefusal(nowMillis, it, nowMillis - terms.firstReceivedAtMillis)
         }
-        context.admission.refused(nowMillis, terms.workspace, terms.demand, terms.rank)
         context.metrics.recordRefusedTokens(terms)
         context.metrics.refused(terms.service, heldBy)
         context.log.refused(terms, reason, refusalInputs(nowMillis, heldBy, retryAfterSeconds))
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -7,6 +7,7 @@
 import buckthornbay.core.admission.AdmissionPolicy
 import buckthornbay.core.admission.CallerRetryTracker
 import buckthornbay.core.admission.Dispatcher
+import buckthornbay.core.admission.EngineCapacity
 import buckthornbay.core.admission.EngineWindow
 import buckthornbay.core.admission.EngineWorkAccounts
 import buckthornbay.core.admission.FairShares
@@ -67,7 +68,7 @@
     private val notices = UpstreamNotices()
     private val registry = UpstreamRegistry(notices)
     private val regions = settings.zones.associate { it.name to it.region }
-    private val startedWork = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND)
+    private val startedWork = FleetAccounts(settings.bounds.shareWindowSeconds * MILLIS_PER_SECOND / LEDGERS_PER_WINDOW)
     private val accounts =
         WorkspaceAccounts(
             startedWork,
@@ -80,9 +81,12 @@
         }
     private val selfMember = Member(settings.host, settings.listen.control, settings.region, settings.zone, incarnation)
     private val hostOrder = ZoneHostOrder(selfMember) { membership.live() }
+    private val engineCapacity = EngineCapacity(accounts.engineWork, { hostOrder.count })
+    private val shares = FairShares(accounts.demand, hostOrder, random, capacity = engineCapacity::tokensPerSecond)
     private val engineWindow: EngineWindow =
-        EngineWindow(accounts.engineWork, { hostOrder.count }) { upstreams.candidates(it).size }
-    private val shares = FairShares(accounts.requestedWork, hostOrder)
+        EngineWindow(accounts.engineWork, { hostOrder.count }, capacity = shares::capacityTokensPerSecond) {
+            upstreams.candidates(it).size
+        }
     private val metrics = GatewayMetrics()
     private val rateLimits = RateLimitWatch(deployment.callerInterface, clock, log, metrics)
     private val noticeWatch = NoticeWatch(deployment.callerInterface, notices, clock, log)
@@ -354,6 +358,12 @@
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
 
+        /**
+         * Time constants of the ledger of started work in the window over which shares are measured: what a workspace got earlier
+         * in the window is to count little now.
+         */
+        const val LEDGERS_PER_WINDOW = 4
+
         /**
          * Time constant of the exponential decay of demand, in milliseconds: several gossip rounds, and a quarter of the share
          * window.
--- a/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/PeerExchange.kt
@@ -47,6 +47,8 @@
  * @property rateLimits request rate limits that upstreams state, as far as the sender knows.
  * @property store what the sender knows of the store, and as of when.
  * @property engineWork work that the sender has sent to engines, by service.
+ * @property punctualDemand the part of [requestedWork] that could meet its objective when it was requested.
+ * @property lateDemand the rest of [requestedWork].
  */
 @Serializable
 internal data class GossipMessage(
@@ -60,6 +62,8 @@
     @SerialName("l") val rateLimits: List<RateLimitNews> = emptyList(),
     @SerialName("k") val store: StoreStatement? = null,
     @SerialName("e") val engineWork: Map<ServiceId, EngineWork> = emptyMap(),
+    @SerialName("p") val punctualDemand: Map<WorkspaceId, Long> = emptyMap(),
+    @SerialName("d") val lateDemand: Map<WorkspaceId, Long> = emptyMap(),
 )
 
 /** The state of this host that it exchanges with its peers. */
@@ -160,6 +164,8 @@
     private fun mergeAccounts(nowMillis: Long, sender: Member, message: GossipMessage) {
         accounts.startedWork.receive(nowMillis, sender.host, sender.incarnation, message.startedWork.toTokens())
         accounts.requestedWork.receive(nowMillis, sender.host, sender.incarnation, message.requestedWork.toTokens())
+        accounts.demand.punctual.receive(nowMillis, sender.host, sender.incarnation, message.punctualDemand.toTokens())
+        accounts.demand.late.receive(nowMillis, sender.host, sender.incarnation, message.lateDemand.toTokens())
         accounts.engineWork.putSnapshot(nowMillis, sender.host.value, message.engineWork)
         accounts.backlog.receive(nowMillis, sender.host, message.waiting)
     }
@@ -235,6 +241,8 @@
         shared.rateLimits.news(),
         storeAccess.knowledge.statementFor(clock.nowMillis(), recipient),
         if (accountsExchange.isNeeded) emptyMap() else accounts.engineWork.sumOf(clock.nowMillis(), withOwn = true) { false },
+        if (accountsExchange.isNeeded) emptyMap() else accounts.demand.punctual.totals().toWholeTokens(),
+        if (accountsExchange.isNeeded) emptyMap() else accounts.demand.late.totals().toWholeTokens(),
     )
 
     private fun report() = HostReport(fleetView.configurationVersion, loadPermille = 0)
@@ -253,6 +261,8 @@
         storeAccess.knowledge.forget(host)
         accounts.startedWork.forget(host)
         accounts.requestedWork.forget(host)
+        accounts.demand.punctual.forget(host)
+        accounts.demand.late.forget(host)
     }
 
     private companion object {
