--- a/router/src/test/kotlin/buckthornbay/router/TruncatedResponseTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/TruncatedResponseTest.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.io.IOException
 import kotlinx.io.readString
+import org.junit.jupiter.api.extension.ExtendWith
 import java.net.InetAddress
 import java.net.ServerSocket
 import kotlin.concurrent.thread
@@ -18,6 +19,7 @@
 import kotlin.test.assertEquals
 
 /** Tests that no client of the own interface takes a response for complete that ends before the end that its sender marks. */
+@ExtendWith(KnownRed::class)
 class TruncatedResponseTest {
     private val relay = ResponseRelay(silenceMillis = 2_000)
 
