Review: an answer without an end of its own looks complete when its router is killed

Cause: answers that a worker ends with its connection are passed on without a length or chunks, so that the end of a killed router's connections passes for the end of the answer. Change: case 6 of the review with its stand-ins; nothing of the product is changed.

--- /dev/null
+++ b/review/kit-2/Worker.java
@@ -0,0 +1,124 @@
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * A worker as a process of its own. The query of a request says what it answers:
+ * events=N events of a stream, gap=MS between them, size=N bytes each; bytes=N a body of so many bytes;
+ * framing=chunks, length or none (the answer ends with its connection); pause=N,MS a silence after event N.
+ */
+public final class Worker {
+    private static String id;
+    private static final AtomicInteger ACTIVE = new AtomicInteger();
+
+    private Worker() {
+    }
+
+    public static void main(String[] args) throws Exception {
+        id = args[1];
+        ServerSocket server = new ServerSocket(Integer.parseInt(args[0]), 200, InetAddress.getByName("127.0.0.1"));
+        while (true) {
+            Socket socket = server.accept();
+            socket.setTcpNoDelay(true);
+            Thread thread = new Thread(() -> serve(socket));
+            thread.setDaemon(true);
+            thread.start();
+        }
+    }
+
+    private static synchronized void say(String line) {
+        System.out.println(line);
+        System.out.flush();
+    }
+
+    private static void serve(Socket socket) {
+        String attempt = "";
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            while (true) {
+                Kit.Head head = Kit.readHead(in);
+                if (head == null) {
+                    return;
+                }
+                byte[] body = Kit.readBody(in, head);
+                attempt = head.get("X-Buckthornbay-Attempt-Id");
+                String target = head.first.split(" ")[1];
+                if (attempt == null) {
+                    socket.getOutputStream().write(Kit.bytes("HTTP/1.1 400 Bad Request\r\nX-Buckthornbay-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+                    continue;
+                }
+                if (head.get("X-Buckthornbay-Expect-Instance") != null && !head.get("X-Buckthornbay-Expect-Instance").equals(id)) {
+                    socket.getOutputStream().write(Kit.bytes("HTTP/1.1 421 Misdirected Request\r\nX-Buckthornbay-Attempt-Id: " + attempt
+                        + "\r\nContent-Length: 0\r\n\r\n"));
+                    continue;
+                }
+                say("runs " + attempt + " " + head.first + " after event " + head.get("Last-Event-Id") + ", tenant "
+                    + head.get("X-Buckthornbay-Tenant"));
+                ACTIVE.incrementAndGet();
+                boolean keep;
+                try {
+                    keep = answer(socket, head, attempt, target);
+                } finally {
+                    ACTIVE.decrementAndGet();
+                }
+                say("has answered " + attempt + " completely");
+                if (!keep) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            say("lost the connection of " + attempt + ": " + e.getMessage());
+        }
+    }
+
+    private static String parameter(String target, String name, String otherwise) {
+        int at = target.indexOf('?');
+        if (at >= 0) {
+            for (String part : target.substring(at + 1).split("&")) {
+                if (part.startsWith(name + "=")) {
+                    return part.substring(name.length() + 1);
+                }
+            }
+        }
+        return otherwise;
+    }
+
+    private static boolean answer(Socket socket, Kit.Head head, String attempt, String target) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        String framing = parameter(target, "framing", "chunks");
+        int events = Integer.parseInt(parameter(target, "events", "0"));
+        String type = events > 0 ? "text/event-stream" : "application/octet-stream";
+        String common = "HTTP/1.1 200 OK\r\nX-Buckthornbay-Attempt-Id: " + attempt + "\r\nX-Buckthornbay-Server-Seal: seal-" + id + "-"
+            + attempt + "\r\nX-Buckthornbay-Server-Load: " + ACTIVE.get() + ",0,64,100\r\nContent-Type: " + type + "\r\n";
+        if (events == 0) {
+            int length = Integer.parseInt(parameter(target, "bytes", "800"));
+            String own = framing.equals("none") ? "Connection: close\r\n\r\n" : "Content-Length: " + length + "\r\n\r\n";
+            out.write(Kit.bytes(common + own));
+            byte[] body = new byte[length];
+            java.util.Arrays.fill(body, (byte) 'b');
+            out.write(body);
+            return !framing.equals("none");
+        }
+        int gap = Integer.parseInt(parameter(target, "gap", "50"));
+        int size = Integer.parseInt(parameter(target, "size", "65"));
+        String[] pause = parameter(target, "pause", "0,0").split(",");
+        String last = head.get("Last-Event-Id");
+        int first = last == null ? 1 : Integer.parseInt(last) + 1;
+        out.write(Kit.bytes(common + (framing.equals("none") ? "Connection: close\r\n\r\n" : "Transfer-Encoding: chunked\r\n\r\n")));
+        for (int number = first; number <= events; number++) {
+            String begin = "id: " + number + "\ndata: ";
+            String event = begin + "x".repeat(Math.max(1, size - begin.length() - 2)) + "\n\n";
+            out.write(Kit.bytes(framing.equals("none") ? event : Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
+            Kit.sleep(number == Integer.parseInt(pause[0]) ? Integer.parseInt(pause[1]) : gap);
+        }
+        if (!framing.equals("none")) {
+            out.write(Kit.bytes("0\r\n\r\n"));
+        }
+        return !framing.equals("none");
+    }
+}
