Review: let case 10 hold for both passages of its rule

Cause: an answer that has begun may or may not count as an answer in the passage about kept channels. Change: the case has planned work, a SIGHUP, before the requests in both modes, so that the passage about planned work holds too.

--- a/review/kit-2/CaseStall.java
+++ b/review/kit-2/CaseStall.java
@@ -2,7 +2,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Clients read a stream slowly for some seconds, on a router with little other traffic. */
+/** Clients read a stream slowly for some seconds, on a router with little other traffic, whose settings have just changed. */
 public final class CaseStall {
     private static final int CLIENTS = 6;
     private static final int EVENTS = 160;
@@ -27,6 +27,7 @@
         Kit.RouterProcess router = new Kit.RouterProcess(store, ports, 1, 1).start();
         router.awaitReady();
         Kit.sleep(1_000);
+        router.changeSettings();
         AtomicInteger lost = new AtomicInteger();
         List<Thread> clients = new ArrayList<>();
         for (int i = 1; i <= CLIENTS; i++) {
--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -508,6 +508,14 @@
             }
         }
 
+        /** Adds a seed to the settings file and sends SIGHUP, as the platform does when settings change. */
+        void changeSettings() throws Exception {
+            String text = Files.readString(settings);
+            Files.writeString(settings, text.replace("seeds = [", "seeds = [\"127.0.0.9:" + ports.ports[2] + "\","));
+            signal(process, "HUP");
+            note("router " + name + " got SIGHUP after a change of its settings");
+        }
+
         /** Copies what the router has logged about [id] to record.txt. */
         void noteLog(String... words) throws IOException {
             for (String line : Files.readAllLines(folder.resolve("log"))) {
