Review: let the workers of case 9 finish before the shutdown

Cause: on a slow machine the SIGTERM could come before the workers have written their answers. Change: the SIGTERM comes 1 s after the requests, and the callers read slowly for 5.5 s.

--- a/review/kit-2/CaseSlow.java
+++ b/review/kit-2/CaseSlow.java
@@ -7,7 +7,7 @@
     private static final int CLIENTS = 5;
     private static final int ANSWER_BYTES = 4_000_000;
     private static final int WINDOW_BYTES = 4_096;
-    private static final int SLOW_MILLIS = 4_500;
+    private static final int SLOW_MILLIS = 5_500;
     private static final int SLOW_BYTES_PER_SECOND = 100_000;
 
     private CaseSlow() {
@@ -51,7 +51,7 @@
                 }
             }));
         }
-        Kit.sleep(300);
+        Kit.sleep(1_000);
         if (Kit.TROUBLE) {
             Kit.signal(first.process, "TERM");
             Kit.note("router " + first.name + " got SIGTERM");
