Review: a crashing prompt part behind 32 others leads to the quarantine of a sound one

Cause: parts from the 33rd on are no suspects, so that the crashes are blamed on a part that all requests of the route share. Nothing of the product is changed.

--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -320,18 +321,25 @@
         private volatile boolean beats = true;
 
         WorkerProcess(Store store, String id, String service) throws Exception {
+            this(store, id, service, "127.0.0.1:" + freePorts(1)[0], "", line -> { });
+        }
+
+        /** Starts a worker that crashes under crashingPart, if that isn't empty; each line that it writes is passed to lines. */
+        WorkerProcess(Store store, String id, String service, String address, String crashingPart, Consumer<String> lines)
+            throws Exception {
             this.store = store;
             this.id = id;
             this.service = service;
-            address = "127.0.0.1:" + freePorts(1)[0];
+            this.address = address;
             ProcessBuilder builder = new ProcessBuilder(
                 "java", "-Xmx64m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
-                "Worker", address.substring(address.indexOf(':') + 1), id);
+                "Worker", address.substring(address.indexOf(':') + 1), id, crashingPart);
             process = Kit.start(builder);
             background("worker " + id, () -> {
-                try (var lines = process.inputReader()) {
-                    for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                try (var output = process.inputReader()) {
+                    for (String line = output.readLine(); line != null; line = output.readLine()) {
                         note("worker " + id + ": " + line);
+                        lines.accept(line);
                     }
                 }
             });
@@ -360,6 +368,13 @@
             note("worker " + id + " has reported draining, and the store has acknowledged it");
         }
 
+        /** Ends the heartbeat of a worker that has crashed; its entry goes after three check-in intervals of silence. */
+        void fallSilent() {
+            beats = false;
+            sleep(3_600);
+            store.remove("servers", id);
+        }
+
         void kill() {
             beats = false;
             process.destroyForcibly();
--- a/review/kit-2/Worker.java
+++ b/review/kit-2/Worker.java
@@ -14,6 +14,8 @@
  */
 public final class Worker {
     private static String id;
+    /** A part of prompts under which this worker crashes when it begins to answer; empty for none. */
+    private static String crashingPart = "";
     private static final AtomicInteger ACTIVE = new AtomicInteger();
 
     private Worker() {
@@ -21,6 +23,7 @@
 
     public static void main(String[] args) throws Exception {
         id = args[1];
+        crashingPart = args.length > 2 ? args[2] : "";
         ServerSocket server = new ServerSocket(Integer.parseInt(args[0]), 200, InetAddress.getByName("127.0.0.1"));
         while (true) {
             Socket socket = server.accept();
@@ -59,6 +62,10 @@
                 }
                 say("runs " + attempt + " " + head.first + " after event " + head.get("Last-Event-Id") + ", tenant "
                     + head.get("X-Buckthornbay-Tenant"));
+                if (hasCrashingPart(head.get("X-Buckthornbay-Prefix-Hash"))) {
+                    say("crashes under " + attempt);
+                    Runtime.getRuntime().halt(1);
+                }
                 ACTIVE.incrementAndGet();
                 boolean keep;
                 try {
@@ -76,6 +83,20 @@
         }
     }
 
+    /** The last part belongs to the request itself, and crashes no worker. */
+    private static boolean hasCrashingPart(String parts) {
+        if (crashingPart.isEmpty() || parts == null) {
+            return false;
+        }
+        String[] each = parts.split(",");
+        for (int i = 0; i < each.length - 1; i++) {
+            if (each[i].startsWith(crashingPart + ":")) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static String parameter(String target, String name, String otherwise) {
         int at = target.indexOf('?');
         if (at >= 0) {
