--- a/review/kit-2/CaseSlow.java
+++ b/review/kit-2/CaseSlow.java
@@ -53,7 +53,7 @@
         }
         Kit.sleep(1_000);
         if (Kit.TROUBLE) {
-            Kit.signal(first.process, "TERM");
+            first.process.destroy();
             Kit.note("router " + first.name + " got SIGTERM");
         }
         for (Thread client : clients) {
--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -3,7 +3,6 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -304,10 +303,6 @@
         return process;
     }
 
-    static void signal(Process process, String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-    }
-
     /** A worker as a process, registered in the store with a heartbeat. */
     static final class WorkerProcess {
         final String id;
@@ -523,15 +518,7 @@
             }
         }
 
-        /** Adds a seed to the settings file and sends SIGHUP, as the platform does when settings change. */
-        void changeSettings() throws Exception {
-            String text = Files.readString(settings);
-            Files.writeString(settings, text.replace("seeds = [", "seeds = [\"127.0.0.9:" + ports.ports[2] + "\","));
-            signal(process, "HUP");
-            note("router " + name + " got SIGHUP after a change of its settings");
-        }
-
-        /** Copies what the router has logged about [id] to record.txt. */
+        /** Copies the lines of the router's log with one of the words to record.txt. */
         void noteLog(String... words) throws IOException {
             for (String line : Files.readAllLines(folder.resolve("log"))) {
                 for (String word : words) {
--- a/review/kit-2/Worker.java
+++ b/review/kit-2/Worker.java
@@ -10,7 +10,7 @@
 /**
  * A worker as a process of its own. The query of a request says what it answers:
  * events=N events of a stream, gap=MS between them, size=N bytes each; bytes=N a body of so many bytes;
- * framing=chunks, length or none (the answer ends with its connection); pause=N,MS a silence after event N; early=ID that the
+ * framing=chunks, length or none (the answer ends with its connection); early=ID that the
  * worker ID answers before the body is in, sends half of its answer and closes the connection.
  */
 public final class Worker {
@@ -146,7 +146,6 @@
         }
         int gap = Integer.parseInt(parameter(target, "gap", "50"));
         int size = Integer.parseInt(parameter(target, "size", "65"));
-        String[] pause = parameter(target, "pause", "0,0").split(",");
         String last = head.get("Last-Event-Id");
         int first = last == null ? 1 : Integer.parseInt(last) + 1;
         out.write(Kit.bytes(common + (framing.equals("none") ? "Connection: close\r\n\r\n" : "Transfer-Encoding: chunked\r\n\r\n")));
@@ -154,7 +153,7 @@
             String begin = "id: " + number + "\ndata: ";
             String event = begin + "x".repeat(Math.max(1, size - begin.length() - 2)) + "\n\n";
             out.write(Kit.bytes(framing.equals("none") ? event : Integer.toHexString(event.length()) + "\r\n" + event + "\r\n"));
-            Kit.sleep(number == Integer.parseInt(pause[0]) ? Integer.parseInt(pause[1]) : gap);
+            Kit.sleep(gap);
         }
         if (!framing.equals("none")) {
             out.write(Kit.bytes("0\r\n\r\n"));
