Review: let each case name the record that it writes

Cause: the scripts of cases 6 to 10 left the name of record.txt to their common part. The checks are the same.

--- a/review/kit-2/Kit.java
+++ b/review/kit-2/Kit.java
@@ -42,8 +42,8 @@
         return (System.nanoTime() - START_NANOS) / 1_000_000;
     }
 
-    static void openRecord(Path folder) throws IOException {
-        record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
+    static void openRecord(Path file) throws IOException {
+        record = new PrintWriter(Files.newBufferedWriter(file), true);
         note("disruption " + (TROUBLE ? "on" : "off"));
     }
 
@@ -725,7 +725,7 @@
         boolean run() throws Exception;
     }
 
-    /** Runs a case, writes record.txt to the folder that the first argument names, and exits with its result. */
+    /** Runs a case, writes to the file that the first argument names (record.txt of the case), and exits with its result. */
     static void main(String[] args, Case body) throws Exception {
         openRecord(Path.of(args[0]));
         Runtime.getRuntime().addShutdownHook(new Thread(Kit::endAll));
