Send responses without an end of their own in chunks or with a length

Cause: such a response was passed on as it came, and its only end was that of the caller's connection. The operating system closes the connections of a killed process in the regular way. Change: streams are always sent in chunks and bodies with a length, so that a response without its last chunk or byte is seen as incomplete, whatever ends the host. A stream that began in chunks and whose last part marks no end is broken off as before. The reset that marked broken-off ends is no longer needed.

--- a/core/src/main/kotlin/buckthornbay/core/request/ResponseEnd.kt
+++ b/core/src/main/kotlin/buckthornbay/core/request/ResponseEnd.kt
@@ -18,7 +18,7 @@
     /** The response is incomplete. */
     BROKEN_OFF,
 
-    /** Nothing tells whether the response is complete; it is passed on as it came, without a mark of its end. */
+    /** The upstream marked no end, but nothing shows that the response is incomplete; the caller gets it as complete. */
     UNMARKED,
 }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -22,14 +22,12 @@
  * A complete response that is not an event stream. The receiver must [release] it, or its [body] and its [memory].
  *
  * @property memory what the body holds of the memory for buffers.
- * @property isFramed whether the upstream marked the end of the body other than by closing the connection.
  */
 internal class BufferedResponse(
     val status: HttpResponseStatus,
     val headers: HttpHeaders,
     val body: ByteBuf,
     val memory: BufferBudget.Share,
-    val isFramed: Boolean,
 ) {
     fun release() {
         body.release()
@@ -48,7 +46,11 @@
     /** Latency objective of the request, in milliseconds; null if there is none. */
     val objectiveMillis: Long?
 
-    /** Called before the first event of a stream, with the head of the response; [isFramed] as in [BufferedResponse]. */
+    /**
+     * Called before the first event of a stream, with the head of the response.
+     *
+     * [isFramed] tells whether the response has a length or chunks; otherwise only the end of the connection ends it.
+     */
     fun streamStarted(attempt: Attempt, head: HttpResponse, isFramed: Boolean)
 
     /** Called for each complete event. The listener must release its bytes. */
@@ -58,7 +60,7 @@
     fun eventBatchComplete(attempt: Attempt)
 
     /**
-     * Called when the upstream ended the stream regularly; [isFramed] as in [BufferedResponse]. [trailingLines] are blank lines
+     * Called when the upstream ended the stream regularly; [isFramed] as in [streamStarted]. [trailingLines] are blank lines
      * after the last event, if any.
      */
     fun streamEnded(attempt: Attempt, trailingLines: ByteBuf?, isFramed: Boolean)
@@ -321,16 +323,15 @@
                 )
             status.code() in SUCCESS -> verifyEnd(withConnection) {
                 recordProof()
-                deliver(head, withConnection)
+                deliver(head)
             }
-            else -> deliver(head, withConnection)
+            else -> deliver(head)
         }
     }
 
-    private fun deliver(head: HttpResponse, withConnection: Boolean) {
+    private fun deliver(head: HttpResponse) {
         val status = head.status()
-        val isFramed = hasOwnEnd() || !withConnection
-        val answer = BufferedResponse(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER, memory, isFramed)
+        val answer = BufferedResponse(status, head.headers(), body ?: Unpooled.EMPTY_BUFFER, memory)
         body = null
         isHandedOver = true
         end(if (status.code() >= FIRST_SERVER_ERROR) SendOutcome.FAILED else SendOutcome.ANSWERED)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerConnection.kt
@@ -5,12 +5,10 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelException
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -57,10 +55,6 @@
     private var closing = false
     private var streaming = false
 
-    /** Whether only the end of the connection marks that of the response in progress. */
-    var endsWithConnection = false
-        private set
-
     /** Time of the last read or response, in milliseconds. */
     var activeAtMillis = clock.nowMillis()
         private set
@@ -153,29 +147,19 @@
     /** Closes the connection at once, so that the caller recognises a partial response as truncated. */
     fun abort() {
         work = null
-        if (streaming && endsWithConnection) resetOnClose()
         close()
     }
 
-    /** A regular close would look like the end of a response that has no other end. */
-    private fun resetOnClose() {
-        try {
-            context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
-        } catch (e: ChannelException) {
-            logger.warn(e) { "event=reset_failed" }
-        }
-    }
-
     /**
-     * Sends a complete response. [headers] must not contain connection-specific headers.
+     * Sends a complete response. [headers] must not contain connection-specific headers. Returns the future of the write.
      *
-     * If the response [isFramed], it gets a length; otherwise it ends with the connection, as it came. Returns the future of the
-     * write.
+     * The response gets a length even if it came without one: the operating system closes the connections of a process that
+     * ends in the regular way, which would look like the end of a response without a length.
      */
-    fun answer(status: HttpResponseStatus, headers: HttpHeaders?, body: ByteBuf, isFramed: Boolean = true): ChannelFuture {
+    fun answer(status: HttpResponseStatus, headers: HttpHeaders?, body: ByteBuf): ChannelFuture {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body)
         headers?.let { response.headers().add(it) }
-        if (isFramed) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes()) else keepAlive = false
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         return finish(response)
     }
 
@@ -190,15 +174,13 @@
     }
 
     /**
-     * Starts a response whose length is not known in advance.
-     *
-     * If the response [isFramed], it is sent in chunks; otherwise it ends with the connection, as it came.
+     * Starts a response whose length is not known in advance. It is sent in chunks, also if it came without, for the reason that
+     * [answer] gives.
      */
-    fun beginStream(status: HttpResponseStatus, headers: HttpHeaders, isFramed: Boolean) {
+    fun beginStream(status: HttpResponseStatus, headers: HttpHeaders) {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers().add(headers)
-        if (isFramed) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED) else keepAlive = false
-        endsWithConnection = !isFramed
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         setConnectionHeader(response.headers())
         streaming = true
         write(response)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerReply.kt
@@ -48,7 +48,7 @@
             context.log.warning("event=response_dropped id=${terms.id} reason=\"the caller reads too slowly\"")
             caller.abort()
         }
-        caller.answer(status, responseHeadersToForward(answer.headers), answer.body, answer.isFramed)
+        caller.answer(status, responseHeadersToForward(answer.headers), answer.body)
             .addListener { answer.memory.release() }
     }
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -70,6 +70,9 @@
     /** Whether the request is sent although it has a quarantined prompt part, to find out whether upstreams still crash. */
     private var isTrial = false
     private var responseStarted = false
+
+    /** Whether the first part of the stream had a length or chunks, so that its upstream would have marked its end. */
+    private var isStreamFramed = false
     private var ended = false
 
     override val id: String get() = terms.id
@@ -207,11 +210,12 @@
         if (lifecycle.state == RequestState.STREAMING) return
         lifecycle.responseStarted()
         responseStarted = true
+        isStreamFramed = isFramed
         context.metrics.recordBegunTokens(terms)
         streamTimes.recordUpstreamWait(context.clock.nowMillis() - attempt.sentAtMillis)
         streamTimes.recordFirstEvent(context.clock.nowMillis() - terms.arrivedAtMillis)
         context.metrics.recordFirstEvent(terms, context.clock.nowMillis())
-        caller.beginStream(head.status(), responseHeadersToForward(head.headers()), isFramed)
+        caller.beginStream(head.status(), responseHeadersToForward(head.headers()))
     }
 
     override fun eventReceived(attempt: Attempt, event: StreamEvent) {
@@ -241,7 +245,7 @@
     override fun streamEnded(attempt: Attempt, trailingLines: ByteBuf?, isFramed: Boolean) {
         this.attempt = null
         trailingLines?.let(caller::writeChunk)
-        if (!isFramed && !caller.endsWithConnection) return abortStream("a resumption ended without marking its end")
+        if (!isFramed && isStreamFramed) return abortStream("a resumption ended without marking its end")
         lifecycle.completed()
         finish("answered")
         caller.endStream()
--- a/router/src/test/kotlin/buckthornbay/router/gateway/RouterChildProcess.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/RouterChildProcess.kt
@@ -64,8 +64,13 @@
         """.trimIndent()
     }
 
-    override fun close() {
+    /** Ends the process by SIGKILL and waits until it is gone. */
+    fun kill() {
         process.destroyForcibly().waitFor(10, TimeUnit.SECONDS)
+    }
+
+    override fun close() {
+        kill()
         folder.toFile().deleteRecursively()
     }
 }
