Find a crashing prompt part among any number of others

Cause: the quarantine looked at the first 32 parts of a request. The crashing part stood behind them and was no suspect, and the most specific part that was left was blamed for its crashes; since all requests have it, no answer could release it. The parts kept for a crash, those passed on in a message and those whose answers are remembered had limits with the same effect. Change: no limit to the parts of a request. A crash lists the parts that tell most and keeps all others in a Bloom filter of fixed size, which peers get as well, so that a part that comes again is found. A crash whose evidence was cut speaks against no part that was ever answered, and which parts were answered is kept in filters that other parts don't push out. A part that was answered before is tried again after 30 s. The time at which a suspect was sent no longer drifts from host to host.

--- a/core/src/main/kotlin/buckthornbay/core/quarantine/CrashEvidence.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/CrashEvidence.kt
@@ -5,35 +5,16 @@
  *
  * @property position position of the part in the prompt, from 0; parts that come later are more specific.
  * @property sentAtMillis time at which the latest such request was sent, in milliseconds.
+ * @property isInferred whether this is known from a [PartFilter] only, which may be wrong.
  */
-public data class Suspect(public val part: String, public val position: Int, public val sentAtMillis: Long)
-
-/**
- * The crash of one incarnation of an upstream.
- *
- * @property upstream identity of the incarnation.
- */
-internal class Crash(val upstream: String, val atMillis: Long) {
-    private val byPart = LinkedHashMap<String, Suspect>()
-
-    val suspects: Collection<Suspect> get() = byPart.values
-
-    /** Adds [suspects] that are not known yet; returns whether there were any. */
-    fun add(suspects: List<Suspect>): Boolean {
-        val sizeBefore = byPart.size
-        for (suspect in suspects) {
-            if (byPart.size >= MAX_SUSPECTS) break
-            byPart.merge(suspect.part, suspect) { old, new -> if (new.sentAtMillis > old.sentAtMillis) new else old }
-        }
-        return byPart.size > sizeBefore
-    }
-
-    fun suspect(part: String): Suspect? = byPart[part]
-
-    private companion object {
-        /** Maximum number of parts recorded for a crash; an engine has some hundred requests with a few parts each. */
-        const val MAX_SUSPECTS = 4_096
-    }
+public data class Suspect(
+    public val part: String,
+    public val position: Int,
+    public val sentAtMillis: Long,
+    public val isInferred: Boolean = false,
+) {
+    /** Returns whether this says no more than [known] about the same part. */
+    internal fun isCoveredBy(known: Suspect): Boolean = known.sentAtMillis >= sentAtMillis && (isInferred || !known.isInferred)
 }
 
 /**
@@ -44,6 +25,18 @@
  */
 internal data class Blame(val part: String, val position: Int, val rounds: Int, val first: Crash)
 
+/** What a host knows about the parts of answered requests. */
+internal interface PartHistory {
+    /** Returns the time at which a request with [part] was last answered, in milliseconds; null if that is not known. */
+    fun answeredAtMillis(part: String): Long?
+
+    /** Returns whether a request with [part] was answered at any time; a few parts that never were count as answered. */
+    fun wasAnswered(part: String): Boolean
+
+    /** Returns the number of rounds for which [part] is blamed. */
+    fun minRounds(part: String): Int
+}
+
 /**
  * Returns the parts that explain [crashes], the most frequent first.
  *
@@ -53,19 +46,19 @@
  * other parts that were involved in it. Of parts that explain the same crashes, one that was never answered is blamed first, then
  * the most specific one.
  *
- * @param minRounds number of rounds for which a part is blamed, by part.
- * @param answeredAtMillis time at which a request with a part was last answered, in milliseconds; null if it never was.
+ * A crash whose list of suspects was cut short speaks against no part that was ever answered: the cause may be a part that is
+ * missing from the list. Of the rounds that only inferred suspects speak for, one counts.
  */
-internal fun blame(crashes: Collection<Crash>, minRounds: (String) -> Int, answeredAtMillis: (String) -> Long?): List<Blame> {
+internal fun blame(crashes: Collection<Crash>, history: PartHistory): List<Blame> {
     val blamed = ArrayList<Blame>()
     var unexplained = crashes.sortedBy { it.atMillis }
     while (unexplained.isNotEmpty()) {
         val rounds = roundsOf(unexplained)
         val crashesByPart = unexplained.flatMap { it.suspects }.groupingBy { it.part }.eachCount()
-        val parts = crashesByPart.filter { (part, count) -> count >= minRounds(part) }.keys
-        val next = parts.mapNotNull { blameOf(it, rounds, answeredAtMillis(it)) }
-            .filter { it.rounds >= minRounds(it.part) }
-            .maxWithOrNull(compareBy({ it.rounds }, { answeredAtMillis(it.part) == null }, { it.position }, { it.part })) ?: break
+        val parts = crashesByPart.filter { (part, count) -> count >= history.minRounds(part) }.keys
+        val next = parts.mapNotNull { blameOf(it, rounds, history) }
+            .filter { it.rounds >= history.minRounds(it.part) }
+            .maxWithOrNull(compareBy({ it.rounds }, { !history.wasAnswered(it.part) }, { it.position }, { it.part })) ?: break
         blamed += next
         unexplained = unexplained.filter { it.suspect(next.part) == null }
     }
@@ -83,22 +76,36 @@
 }
 
 /** Returns what speaks against [part], given [rounds] in order of time; null if nothing does. */
-internal fun blameOf(part: String, rounds: List<List<Crash>>, answeredAtMillis: Long?): Blame? {
-    var count = 0
-    var position = 0
-    var first: Crash? = null
-    var lastAtMillis = answeredAtMillis ?: Long.MIN_VALUE
-    for (round in rounds) {
-        val involved = round.filter { it.suspect(part) != null && it.atMillis > lastAtMillis }
-        if (involved.isEmpty() || involved.size * 2 < round.size) continue
+internal fun blameOf(part: String, rounds: List<List<Crash>>, history: PartHistory): Blame? {
+    val evidence = PartEvidence(part, history)
+    rounds.forEach(evidence::add)
+    return evidence.blame
+}
+
+/** What the rounds of crashes so far say about [part]. */
+private class PartEvidence(private val part: String, history: PartHistory) {
+    private val wasAnswered = history.wasAnswered(part)
+    private var lastAtMillis = history.answeredAtMillis(part) ?: Long.MIN_VALUE
+    private var hasInferredRound = false
+
+    var blame: Blame? = null
+        private set
+
+    fun add(round: List<Crash>) {
+        val involved = round.filter(::counts)
+        if (involved.isEmpty() || involved.size * 2 < round.size) return
         val suspects = involved.mapNotNull { it.suspect(part) }
-        if (first != null && suspects.none { it.sentAtMillis > lastAtMillis }) continue
-        if (first == null) first = involved.first()
-        count++
-        position = suspects.last().position
+        val isInferred = suspects.all { it.isInferred }
+        val isNew = blame == null || suspects.any { it.sentAtMillis > lastAtMillis }
+        if (!isNew || (isInferred && hasInferredRound)) return
+        hasInferredRound = hasInferredRound || isInferred
+        val known = blame
+        blame = Blame(part, suspects.last().position, rounds = (known?.rounds ?: 0) + 1, known?.first ?: involved.first())
         lastAtMillis = involved.last().atMillis
     }
-    return first?.let { Blame(part, position, count, it) }
+
+    private fun counts(crash: Crash): Boolean =
+        crash.suspect(part) != null && crash.atMillis > lastAtMillis && !(wasAnswered && crash.isCut)
 }
 
 /** Time within which crashes count as one round, in milliseconds; hosts notice what a power failure ended within it. */
--- a/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/PromptQuarantine.kt
@@ -56,7 +56,16 @@
 
     /** Latest answers to requests with the parts that are suspected or quarantined; other parts don't push them out. */
     private val proofs = HashMap<String, Proof>()
-    private val crashes = LinkedHashMap<String, Crash>()
+    private val answeredParts = AnsweredParts()
+    private val history = object : PartHistory {
+        override fun answeredAtMillis(part: String): Long? = proofOf(part)?.atMillis
+
+        override fun wasAnswered(part: String): Boolean = proofOf(part) != null || part in answeredParts
+
+        override fun minRounds(part: String): Int = if (wasAnswered(part)) settings.minRoundsAfterAnswer else settings.minRounds
+    }
+    private val crashLog =
+        CrashLog(settings.maxCrashes, settings.maxSuspects, settings.maxSuspectsPerCrash, history::wasAnswered)
     private val quarantined = LinkedHashMap<String, Entry>()
 
     /** Quarantined parts, each with the time of the first crash that it is blamed for, in milliseconds. */
@@ -67,14 +76,15 @@
         val proof = Proof(id, nowMillis)
         for (part in partsOf(demand)) {
             recentProofs[part] = proof
+            answeredParts.add(part)
             if (isRelevant(part)) proofs[part] = proof
         }
         return if (partsOf(demand).any { it in quarantined }) releaseProven() else emptyList()
     }
 
     /** Records that the incarnation [upstream] crashed; [suspects] are parts of requests that it had not begun to answer. */
-    public fun recordCrash(nowMillis: Long, upstream: String, suspects: List<Suspect>): List<QuarantineChange> =
-        if (addCrash(upstream, nowMillis, suspects)) update(nowMillis) else emptyList()
+    public fun recordCrash(nowMillis: Long, upstream: String, suspects: Iterable<Suspect>): List<QuarantineChange> =
+        if (addSuspects(crashLog.crashOf(upstream, nowMillis), suspects)) update(nowMillis) else emptyList()
 
     /**
      * Decides whether a request with [demand] may be sent.
@@ -100,10 +110,12 @@
 
     /** Returns whether a failed request with [demand] must not be repeated, because it may crash the next upstream as well. */
     public fun isSuspected(demand: TokenDemand): Boolean {
-        if (crashes.isEmpty()) return quarantinedPart(demand) != null
-        val rounds = roundsOf(crashes.values.sortedBy { it.atMillis })
+        if (crashLog.crashes.isEmpty()) return quarantinedPart(demand) != null
+        val rounds by lazy(LazyThreadSafetyMode.NONE) { roundsOf(crashLog.crashes.sortedBy { it.atMillis }) }
         return partsOf(demand).any { part ->
-            part in quarantined || (blameOf(part, rounds, proofOf(part)?.atMillis)?.rounds ?: 0) >= minRounds(part) - 1
+            val minRounds = history.minRounds(part) - 1
+            part in quarantined ||
+                (crashLog.countOf(part) >= minRounds && (blameOf(part, rounds, history)?.rounds ?: 0) >= minRounds)
         }
     }
 
@@ -119,19 +131,19 @@
 
     /** Drops what is too old to matter. */
     public fun expire(nowMillis: Long) {
-        val dropped = crashes.values.removeIf { nowMillis - it.atMillis > settings.evidenceMillis }
+        val dropped = crashLog.dropBefore(nowMillis - settings.evidenceMillis)
         if (dropped) proofs.keys.removeIf { !isRelevant(it) }
     }
 
     /** Returns what a peer needs to know. */
     public fun news(nowMillis: Long): QuarantineNews {
-        if (crashes.isEmpty() && quarantined.isEmpty()) return QuarantineNews()
-        val recent = crashes.values.filter {
+        if (crashLog.crashes.isEmpty() && quarantined.isEmpty()) return QuarantineNews()
+        val recent = crashLog.crashes.filter {
             nowMillis - it.atMillis <= settings.relayMillis
         }.takeLast(settings.maxRelayedCrashes)
-        val crashCounts = crashes.values.flatMap { it.suspects }.groupingBy { it.part }.eachCount()
-        val crashNews = recent.map { crash ->
-            crashNews(nowMillis, crash, settings.maxRelayedSuspects / recent.size, crashCounts)
+        val crashNews = recent.mapIndexed { index, crash ->
+            val mayAddFilter = recent.size - index <= settings.maxRelayedFilters
+            crashNews(nowMillis, crash, settings.maxRelayedSuspects / recent.size, mayAddFilter)
         }
         val parts = crashNews.flatMap { crash -> crash.suspects.map { it.part } }.toSet() + quarantined.keys
         return QuarantineNews(
@@ -148,43 +160,59 @@
 
     /** Merges the [news] of a peer. */
     public fun merge(nowMillis: Long, news: QuarantineNews): List<QuarantineChange> {
-        val newCrashes = news.crashes.count { crash ->
-            val suspects = crash.suspects.map { Suspect(it.part, it.position, nowMillis - it.sentAgeMillis) }
-            addCrash(crash.upstream, nowMillis - crash.ageMillis, suspects)
-        }
+        val newCrashes = news.crashes.count { mergeCrash(nowMillis, it) }
         news.answered.forEach { mergeProof(nowMillis, it) }
         val changes = news.quarantined.mapNotNull { mergeQuarantined(nowMillis, it) }
         return changes + if (newCrashes > 0) update(nowMillis) else releaseProven()
     }
 
-    private fun partsOf(demand: TokenDemand): List<String> = demand.sharedParts.take(MAX_PARTS_PER_REQUEST).map { it.id }
+    private fun partsOf(demand: TokenDemand): List<String> = demand.sharedParts.map { it.id }
 
     private fun isTrialDue(nowMillis: Long, entry: Entry): Boolean {
         val trialAtMillis = entry.trialAtMillis
         return nowMillis >= entry.heldUntilMillis && (trialAtMillis == null || nowMillis - trialAtMillis >= settings.trialMillis)
     }
 
-    private fun minRounds(part: String) = if (proofOf(part) == null) settings.minRounds else settings.minRoundsAfterAnswer
-
-    private fun isRelevant(part: String) = part in quarantined || crashes.values.any { it.suspect(part) != null }
+    private fun isRelevant(part: String) = part in quarantined || crashLog.countOf(part) > 0
 
     private fun proofOf(part: String): Proof? = proofs[part] ?: recentProofs[part]
 
-    private fun addCrash(upstream: String, atMillis: Long, suspects: List<Suspect>): Boolean {
-        val crash = crashes.getOrPut(upstream) { Crash(upstream, atMillis) }
-        if (!crash.add(suspects.filter { it.position < MAX_PARTS_PER_REQUEST })) return false
-        if (crashes.size > settings.maxCrashes) crashes.remove(crashes.keys.first())
+    private fun mergeCrash(nowMillis: Long, news: CrashNews): Boolean {
+        val crash = crashLog.crashOf(news.upstream, nowMillis - news.ageMillis)
+        val suspects = news.suspects.map {
+            // Relative to the crash, so that the time doesn't drift from host to host.
+            Suspect(it.part, it.position, crash.atMillis + news.ageMillis - it.sentAgeMillis, it.isInferred)
+        }
+        val hasNewSuspects = addSuspects(crash, suspects)
+        val hasNewOthers = crashLog.addOthers(crash, news.allParts, news.isCut)
+        return hasNewSuspects || hasNewOthers
+    }
+
+    private fun addSuspects(crash: Crash, suspects: Iterable<Suspect>): Boolean {
+        if (!crashLog.addSuspects(crash, suspects)) return false
         for (suspect in crash.suspects) {
             if (suspect.part !in proofs) recentProofs[suspect.part]?.let { proofs[suspect.part] = it }
         }
         return true
     }
 
-    /** Parts that were involved in most crashes come first, so that made-up parts of one crash don't push out a real one. */
-    private fun crashNews(nowMillis: Long, crash: Crash, maxSuspects: Int, crashCounts: Map<String, Int>): CrashNews {
-        val suspects = crash.suspects.sortedByDescending { crashCounts[it.part] }.take(maxSuspects)
-            .map { SuspectNews(it.part, it.position, nowMillis - it.sentAtMillis) }
-        return CrashNews(crash.upstream, nowMillis - crash.atMillis, suspects)
+    /**
+     * Parts that may explain most crashes come first, so that made-up parts of one crash don't push out a real one. Whoever has
+     * one of the others in a further crash finds it in the filter.
+     */
+    private fun crashNews(nowMillis: Long, crash: Crash, maxSuspects: Int, mayAddFilter: Boolean): CrashNews {
+        val relayed = crash.mostTelling(crashLog::countOf).take(maxSuspects + 1).toList()
+        val isPartial = crash.hasOthers || relayed.size > maxSuspects
+        val firstLeftOut = relayed.getOrNull(maxSuspects)
+        return CrashNews(
+            upstream = crash.upstream,
+            ageMillis = nowMillis - crash.atMillis,
+            suspects = relayed.take(maxSuspects).map { suspect ->
+                SuspectNews(suspect.part, suspect.position, nowMillis - suspect.sentAtMillis, suspect.isInferred)
+            },
+            allParts = if (isPartial && mayAddFilter) crash.encodeAll() else null,
+            isCut = crash.isCut || (firstLeftOut != null && crashLog.countOf(firstLeftOut.part) >= settings.minRounds),
+        )
     }
 
     private fun mergeProof(nowMillis: Long, news: AnsweredNews) {
@@ -207,10 +235,10 @@
     private fun update(nowMillis: Long): List<QuarantineChange> {
         renewAfterFailedTrials(nowMillis)
         val changes = ArrayList(releaseProven())
-        val blamed = blame(crashes.values, ::minRounds) { proofOf(it)?.atMillis }
+        val blamed = blame(crashLog.crashes, history)
         for (blame in blamed.filter { it.part !in quarantined && quarantined.size < settings.maxQuarantined }) {
-            val heldUntilMillis = nowMillis + settings.holdMillis
-            quarantined[blame.part] = Entry(blame.first.upstream, blame.first.atMillis, heldUntilMillis, settings.holdMillis)
+            val holdMillis = if (history.wasAnswered(blame.part)) settings.holdAfterAnswerMillis else settings.holdMillis
+            quarantined[blame.part] = Entry(blame.first.upstream, blame.first.atMillis, nowMillis + holdMillis, holdMillis)
             changes += QuarantineChange.Quarantined(blame.part, crashesWith(blame.part))
         }
         return changes + releaseExplained(nowMillis, blamed)
@@ -218,7 +246,7 @@
 
     private fun renewAfterFailedTrials(nowMillis: Long) = quarantined.entries.forEach { (part, entry) ->
         val crash =
-            crashes.values.lastOrNull { it.suspect(part) != null && it.atMillis > entry.heldUntilMillis } ?: return@forEach
+            crashLog.crashes.lastOrNull { it.suspect(part) != null && it.atMillis > entry.heldUntilMillis } ?: return@forEach
         val holdMillis = (entry.holdMillis * 2).coerceAtMost(settings.maxHoldMillis)
         quarantined[part] = Entry(crash.upstream, crash.atMillis, nowMillis + holdMillis, holdMillis)
     }
@@ -231,7 +259,7 @@
     private fun releaseExplained(nowMillis: Long, blamed: List<Blame>): List<QuarantineChange> {
         val explaining = blamed.map { it.part }.toSet()
         val explained = quarantined.keys.filter { part ->
-            val involved = crashes.values.filter { it.suspect(part) != null }
+            val involved = crashLog.crashes.filter { it.suspect(part) != null }
             part !in explaining &&
                 involved.size >= settings.minRounds &&
                 involved.all { crash -> explaining.any { crash.suspect(it) != null } }
@@ -247,14 +275,11 @@
         return QuarantineChange.Released(part, reason)
     }
 
-    private fun crashesWith(part: String): List<String> = crashes.values.filter { it.suspect(part) != null }.map { it.upstream }
+    private fun crashesWith(part: String): List<String> = crashLog.crashes.filter { it.suspect(part) != null }.map { it.upstream }
 
     private companion object {
         /** Stands for the unknown first crash of a restored part. */
         const val RESTORED = "restored"
-
-        /** Maximum number of parts of a request that are considered; callers may list any number. */
-        const val MAX_PARTS_PER_REQUEST = 32
     }
 }
 
@@ -267,12 +292,18 @@
  * the crashes by chance, and blocking it wrongly concerns many callers.
  * @property evidenceMillis how long a crash is kept as evidence, in milliseconds.
  * @property holdMillis time until the first trial of a quarantined part, in milliseconds; each trial may cost an upstream.
+ * @property holdAfterAnswerMillis the same for a part that is known to have been answered before; if it is blamed wrongly, all
+ * requests that would show so are refused until the trial.
  * @property maxHoldMillis upper bound of the hold time, which doubles with each failed trial, in milliseconds.
  * @property trialMillis time that a trial may take before the next one, in milliseconds.
  * @property relayMillis how long a crash is passed on to peers, in milliseconds; gossip reaches all hosts within two seconds.
  * @property maxRelayedCrashes maximum number of crashes in a message.
  * @property maxRelayedSuspects maximum number of suspected parts in a message, which bounds its size.
+ * @property maxRelayedFilters maximum number of crashes in a message, the latest ones, for which a filter of all parts is sent if
+ * not all can be listed; a filter has up to 11 KB.
  * @property maxCrashes maximum number of crashes that are kept.
+ * @property maxSuspects maximum number of parts that all crashes together list.
+ * @property maxSuspectsPerCrash maximum number of parts that a crash lists; it keeps the others in a filter.
  * @property maxQuarantined maximum number of quarantined parts.
  * @property maxRecentProofs maximum number of parts whose latest answer is remembered before they are involved in a crash.
  */
@@ -281,12 +312,16 @@
     public val minRoundsAfterAnswer: Int = 5,
     public val evidenceMillis: Long = 300_000,
     public val holdMillis: Long = 120_000,
+    public val holdAfterAnswerMillis: Long = 30_000,
     public val maxHoldMillis: Long = 3_600_000,
     public val trialMillis: Long = 10_000,
     public val relayMillis: Long = 5_000,
     public val maxRelayedCrashes: Int = 32,
     public val maxRelayedSuspects: Int = 256,
+    public val maxRelayedFilters: Int = 2,
     public val maxCrashes: Int = 256,
+    public val maxSuspects: Int = 32_768,
+    public val maxSuspectsPerCrash: Int = 512,
     public val maxQuarantined: Int = 256,
-    public val maxRecentProofs: Int = 4_096,
+    public val maxRecentProofs: Int = 16_384,
 )
--- a/core/src/main/kotlin/buckthornbay/core/quarantine/QuarantineNews.kt
+++ b/core/src/main/kotlin/buckthornbay/core/quarantine/QuarantineNews.kt
@@ -23,13 +23,17 @@
  *
  * @property upstream identity of the incarnation.
  * @property ageMillis time since the crash, in milliseconds.
- * @property suspects prompt parts of the requests that the incarnation had not begun to answer.
+ * @property suspects prompt parts of the requests that the incarnation had not begun to answer, or the most telling ones.
+ * @property allParts a filter of all these parts, deflated and in Base64, if [suspects] are not all of them.
+ * @property isCut whether recurring parts are missing, so that the sender doesn't know the cause for certain.
  */
 @Serializable
 public data class CrashNews(
     @SerialName("u") public val upstream: String,
     @SerialName("t") public val ageMillis: Long,
     @SerialName("s") public val suspects: List<SuspectNews>,
+    @SerialName("f") public val allParts: String? = null,
+    @SerialName("x") public val isCut: Boolean = false,
 )
 
 /**
@@ -37,12 +41,14 @@
  *
  * @property position position of the part in the prompt, from 0.
  * @property sentAgeMillis time since the latest such request was sent, in milliseconds.
+ * @property isInferred whether the sender knows this from a filter only, which may be wrong.
  */
 @Serializable
 public data class SuspectNews(
     @SerialName("p") public val part: String,
     @SerialName("n") public val position: Int,
     @SerialName("t") public val sentAgeMillis: Long,
+    @SerialName("i") public val isInferred: Boolean = false,
 )
 
 /**
--- a/core/src/test/kotlin/buckthornbay/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/quarantine/PromptQuarantineTest.kt
@@ -233,6 +233,37 @@
         assertNotNull(quarantine.quarantinedPart(demand("bad")))
     }
 
+    /** Guards against blaming a sound part after three crashes because others were answered since. */
+    @Test
+    fun aSoundPartIsForgottenWhileManyOthersAreAnswered() {
+        quarantine.recordAnswered(nowMillis, "request", demand("shared"))
+        repeat(40) { request ->
+            val others = (0 until 500).map { "other-$request-$it" }.toTypedArray()
+            quarantine.recordAnswered(nowMillis, "request-$request", demand(*others))
+        }
+        repeat(4) {
+            nowMillis += 400
+            crash("shared")
+            assertNull(quarantine.quarantinedPart(demand("shared")))
+        }
+    }
+
+    /** If such a part is blamed wrongly, every request that would show so is refused until the trial. */
+    @Test
+    fun aPartThatWasAnsweredBeforeIsHeldAsLongAsOthers() {
+        quarantine.recordAnswered(nowMillis, "request", demand("shared"))
+        repeat(5) {
+            nowMillis += 400
+            crash("shared")
+        }
+        val refused = verdict("shared") as QuarantineVerdict.Refused
+        assertTrue(refused.retryAfterMillis <= 30_000, "${refused.retryAfterMillis} ms")
+        nowMillis += refused.retryAfterMillis
+        assertEquals(QuarantineVerdict.Trial, verdict("shared"))
+        quarantine.recordAnswered(nowMillis + 300, "trial", demand("shared"))
+        assertEquals(QuarantineVerdict.Accepted, verdict("shared"))
+    }
+
     @Test
     fun aSharedPartIsBlamedThatAlwaysComesWithTheCrashingOne() {
         quarantine.recordAnswered(nowMillis, "request", demand("shared"))
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CrashWatch.kt
@@ -24,8 +24,13 @@
     private val metrics: GatewayMetrics,
     private val isTrialHost: (part: String) -> Boolean,
 ) {
-    /** Parts of the requests whose connection an upstream closed while a check of the upstream is pending. */
-    private val suspects = HashMap<UpstreamEntry, MutableList<Suspect>>()
+    private class LostRequest(val demand: TokenDemand, val sentAtMillis: Long) {
+        fun suspects(): Sequence<Suspect> =
+            demand.sharedParts.asSequence().mapIndexed { position, part -> Suspect(part.id, position, sentAtMillis) }
+    }
+
+    /** Requests whose connection an upstream closed while a check of the upstream is pending. */
+    private val lostRequests = HashMap<UpstreamEntry, MutableList<LostRequest>>()
 
     /** Called when parts are quarantined. */
     var onQuarantined: () -> Unit = {}
@@ -48,15 +53,15 @@
     /** Records that [upstream] closed the connection of a request, sent at [sentAtMillis], before it answered. */
     fun connectionLost(upstream: UpstreamEntry, demand: TokenDemand, sentAtMillis: Long) {
         if (demand.sharedParts.isEmpty()) return
-        val lost = demand.sharedParts.mapIndexed { position, part -> Suspect(part.id, position, sentAtMillis) }
-        val pending = suspects[upstream]
+        val lost = LostRequest(demand, sentAtMillis)
+        val pending = lostRequests[upstream]
         if (pending != null) {
             pending += lost
             return
         }
-        suspects[upstream] = lost.toMutableList()
+        lostRequests[upstream] = mutableListOf(lost)
         probe.check(upstream) { result ->
-            val checked = suspects.remove(upstream).orEmpty()
+            val checked = lostRequests.remove(upstream).orEmpty()
             if (result == Reachability.REFUSING) recordCrash(upstream, checked)
         }
     }
@@ -73,11 +78,12 @@
 
     fun expire() = quarantine.expire(clock.nowMillis())
 
-    private fun recordCrash(upstream: UpstreamEntry, suspects: List<Suspect>) {
-        val parts = suspects.map { it.part }.distinct()
-        log.stateChange("event=upstream_crashed upstream=${upstream.id} unanswered_parts=${parts.joinToString(",")}")
+    private fun recordCrash(upstream: UpstreamEntry, lost: List<LostRequest>) {
+        val suspects = lost.asSequence().flatMap { it.suspects() }
+        val parts = suspects.map { it.part }.distinct().take(MAX_LOGGED_PARTS).joinToString(",")
+        log.stateChange("event=upstream_crashed upstream=${upstream.id} unanswered=${lost.size} unanswered_parts=$parts")
         metrics.upstreamCrashed()
-        apply(quarantine.recordCrash(clock.nowMillis(), upstream.incarnation, suspects))
+        apply(quarantine.recordCrash(clock.nowMillis(), upstream.incarnation, suspects.asIterable()))
         onCrash()
     }
 
@@ -99,4 +105,9 @@
         metrics.quarantinedParts(quarantine.sinceMillisByPart, clock)
         if (changes.any { it is QuarantineChange.Quarantined }) onQuarantined()
     }
+
+    private companion object {
+        /** Maximum number of parts in the log line of a crash; requests may have any number. */
+        const val MAX_LOGGED_PARTS = 64
+    }
 }
