Check the end of error responses that only their connection ends

Callers saw: a part of an error response as a complete one, when its upstream crashed while it wrote a response without length and chunks. Cause: the check whether the upstream has crashed was made for successful responses only. Change: the same check for all responses that are passed on. If the upstream has crashed, the request has failed: the caller gets 502, or it is repeated where that is allowed. Evidence: UnframedResponseTest.aPartOfAnErrorResponseWhoseUpstreamCrashesIsDeliveredAsComplete failed before (409 instead of 502); whole ones are passed on as before (aWholeErrorResponseWithoutAnEndOfItsOwnIsReplaced). Measured: UnframedResponseTest, ResponseEndTest, CrashWatchTest and UpstreamContractTest pass.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/Attempt.kt
@@ -321,11 +321,10 @@
                     SendOutcome.FAILED,
                     "the answer ${status.code()} is not the upstream's own",
                 )
-            status.code() in SUCCESS -> verifyEnd(withConnection) {
-                recordProof()
+            else -> verifyEnd(withConnection) {
+                if (status.code() in SUCCESS) recordProof()
                 deliver(head)
             }
-            else -> deliver(head)
         }
     }
 
--- a/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/UnframedResponseTest.kt
@@ -208,6 +208,23 @@
         assertEquals(502, call(request("/charge/x", method = "POST", body = "a")).status)
     }
 
+    /** The caller would take the part for the whole body of the error. */
+    @Test
+    fun aPartOfAnErrorResponseWhoseUpstreamCrashesIsDeliveredAsComplete() = GatewayFixture.run {
+        crashingUpstream("plain") { write("HTTP/1.1 409 Conflict\r\n${requiredHeaders()}\r\npart of a rea") }
+        awaitReady()
+        assertEquals(502, call(request("/charge/x", method = "POST", body = "a")).status)
+    }
+
+    @Test
+    fun aWholeErrorResponseWithoutAnEndOfItsOwnIsReplaced() {
+        val answer = play("/charge/x", service = "plain") {
+            write("HTTP/1.1 409 Conflict\r\n${requiredHeaders()}\r\nreason")
+            close()
+        }
+        assertEquals(listOf(409, "reason", true), listOf(answer.status, answer.body, answer.complete))
+    }
+
     @Test
     fun aRepeatableRequestWhoseUpstreamCrashesInTheBodyIsRepeated() = GatewayFixture.run {
         crashingUpstream("plain") {
