Break off a response whose upstream resets the connection before it has read the request

Cause: a request counted as read once the operating system had taken it. The upstream's end of its side ended the response, and the connection was closed before the reset for the unread bytes arrived. Change: after such an end, to a request with a body, the host keeps its side open for 20 ms and writes an empty line; if that fails, the connection was reset and the response is broken off. Evidence: InvalidResponseTest.aPartialResponseWithoutLengthToARequestThatTheUpstreamHasNotReadIsTakenForComplete, with an upload that fits into the buffers of the sockets, failed before at its first row (200 instead of 502).

--- a/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/HttpConnection.kt
@@ -2,10 +2,13 @@
 
 import buckthornbay.core.Clock
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
@@ -16,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.TimeUnit
 
 /** A listener for the response to one request that was sent on an [HttpConnection]. */
 internal interface ResponseListener {
@@ -47,6 +51,9 @@
 internal class HttpConnection(private val clock: Clock, private val onIdle: (HttpConnection) -> Unit) :
     ChannelInboundHandlerAdapter() {
     private lateinit var channel: Channel
+
+    /** Writes bytes without the encoder. */
+    private lateinit var rawContext: ChannelHandlerContext
     private val decoder = StrictResponseDecoder(DECODER_CONFIG)
     private var listener: ResponseListener? = null
     private var skippingResponse = false
@@ -56,6 +63,11 @@
     private var keepAlive = true
     private var finished = false
     private var headAccepted = false
+    private var hasRequestBody = false
+
+    /** Whether the server has ended its side of the connection, which then stays open for [completeUnlessReset]. */
+    private var inputEnded = false
+    private var checkingReset = false
     private var bytesBeforeHead = 0L
     private var skippedResponses = 0
 
@@ -87,6 +99,7 @@
         check(this.listener == null) { "another request is in progress on this connection" }
         this.listener = listener
         headAccepted = false
+        hasRequestBody = request.content().isReadable
         bytesBeforeHead = 0
         skippedResponses = 0
         incompleteHeadSinceMillis = null
@@ -137,8 +150,12 @@
         if (skippingResponse) return
         headAccepted = true
         incompleteHeadSinceMillis = null
+        if (hasRequestBody && !isFramed(response)) channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
     }
 
+    private fun isFramed(response: HttpResponse): Boolean =
+        HttpUtil.isTransferEncodingChunked(response) || HttpUtil.isContentLengthSet(response)
+
     /** Fails if the server sends one response after the other, none of which is the awaited one. */
     private fun skipped() {
         incompleteHeadSinceMillis = null
@@ -165,13 +182,42 @@
     private fun complete() {
         val current = listener ?: return
         if (failure != null) return fail(failure.orEmpty())
+        val endedWithConnection = inputEnded || !channel.isActive
         // A failed write closes the connection, which the decoder takes for the end of a response without a length.
-        if (!channel.isActive && lastWrite?.isSuccess != true) return fail("the connection ended before the request was written")
+        if (endedWithConnection && lastWrite?.isSuccess != true) return fail(ENDED_BEFORE_WRITTEN)
+        if (inputEnded) return completeUnlessReset()
         listener = null
         finished = !keepAlive || lastWrite?.isSuccess != true
         current.complete(withConnection = !channel.isActive)
     }
 
+    /**
+     * Completes a response that the end of the connection ends, unless a reset has followed that end.
+     *
+     * A server that closes a connection before it has read the whole request resets it, and may end its side first. Then its
+     * response may be a part only, although the operating system took the request to its last byte. After a reset, writes fail;
+     * an empty line after the request means nothing to a server that still reads.
+     */
+    private fun completeUnlessReset() {
+        checkingReset = true
+        channel.eventLoop().schedule(
+            {
+                val write = rawContext.writeAndFlush(Unpooled.wrappedBuffer(EMPTY_LINE))
+                write.addListener { if (it.isSuccess) completeWithConnection() else fail(RESET_AFTER_END) }
+            },
+            RESET_MILLIS,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    private fun completeWithConnection() {
+        val current = listener ?: return
+        listener = null
+        finished = true
+        channel.close()
+        current.complete(withConnection = true)
+    }
+
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         val current = listener
         if (current != null) {
@@ -189,6 +235,11 @@
         }
     }
 
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent && !checkingReset) fail("the connection was closed")
+        ctx.fireUserEventTriggered(event)
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         fail(failure ?: "the connection was closed")
     }
@@ -229,6 +280,15 @@
 
     /** A handler that closes the connection when bytes arrive while no response is awaited, or too many before its head. */
     private inner class UnsolicitedBytesGuard : ChannelInboundHandlerAdapter() {
+        override fun handlerAdded(ctx: ChannelHandlerContext) {
+            rawContext = ctx
+        }
+
+        override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+            if (event is ChannelInputShutdownEvent) inputEnded = true
+            ctx.fireUserEventTriggered(event)
+        }
+
         override fun channelRead(ctx: ChannelHandlerContext, msg: Any) {
             if (listener == null) {
                 ReferenceCountUtil.release(msg)
@@ -247,6 +307,12 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
+        const val ENDED_BEFORE_WRITTEN = "the connection ended before the request was written"
+        const val RESET_AFTER_END = "the upstream reset the connection after its response, before it had read the request"
+        val EMPTY_LINE = "\r\n".encodeToByteArray()
+
+        /** Time in which a reset arrives after the end of the server's side, in milliseconds: a round trip between regions. */
+        const val RESET_MILLIS = 20L
         const val MILLIS_PER_SECOND = 1_000L
 
         /** Keep-alive timeout assumed if the server sends none, in milliseconds; servers commonly use five seconds. */
--- a/router/src/test/kotlin/buckthornbay/router/gateway/InvalidResponseTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/InvalidResponseTest.kt
@@ -68,14 +68,19 @@
     }
 
     /** The upstream reads the beginning of a long request, responds with [response] and ends the connection by [end]. */
-    private fun playEarly(path: String, response: (String) -> String, end: (Socket) -> Unit): CallerAnswer {
+    private fun playEarly(
+        path: String,
+        response: (String) -> String,
+        bodyBytes: Int = LONG_BODY_BYTES,
+        end: (Socket) -> Unit,
+    ): CallerAnswer {
         var answer: CallerAnswer? = null
         GatewayFixture.run(prepare = { manifest(LONG_BODY_BYTES) { it.copy(attempts = 1) } }) {
             LoopbackListener { socket -> thread(isDaemon = true) { respondEarly(socket, response, end) } }.use { listener ->
                 register("plain-1", "plain", listener.address)
                 register("models-1", "models", listener.address)
                 awaitReady()
-                answer = call(request(path, method = "POST", body = "a".repeat(LONG_BODY_BYTES)))
+                answer = call(request(path, method = "POST", body = "a".repeat(bodyBytes)))
             }
         }
         return checkNotNull(answer)
@@ -106,8 +111,22 @@
         }
     }
 
-    private fun assertBrokenOff(path: String, name: String, more: String, end: (Socket) -> Unit) {
-        val answer = playEarly(path, { id -> "HTTP/1.1 200 OK\r\n$id${SEAL}$more\r\n$BODY" }, end)
+    /** The operating system takes the whole request long before the upstream has read it. */
+    @Test
+    fun aPartialResponseWithoutLengthToARequestThatTheUpstreamHasNotReadIsTakenForComplete() {
+        for (path in listOf("/charge/x", "/once/x")) {
+            for ((name, end) in ends) assertBrokenOff(path, name, more = "", end, BUFFERED_BODY_BYTES)
+        }
+    }
+
+    private fun assertBrokenOff(
+        path: String,
+        name: String,
+        more: String,
+        end: (Socket) -> Unit,
+        bodyBytes: Int = LONG_BODY_BYTES,
+    ) {
+        val answer = playEarly(path, { id -> "HTTP/1.1 200 OK\r\n$id${SEAL}$more\r\n$BODY" }, bodyBytes, end)
         // The events that arrived before the end are passed on at once.
         val isStream = path == "/once/x" || path == "/stream/x"
         assertEquals(if (isStream) 200 else 502, answer.status, "$path, $name, $more")
@@ -118,10 +137,11 @@
     @Test
     fun anEarlyRejectionWithALengthIsTakenForBroken() {
         for ((name, end) in ends) {
-            val tooLong = playEarly("/charge/x", { id -> "HTTP/1.1 413 Too Large\r\n$id${SEAL}Content-Length: 2\r\n\r\nno" }, end)
+            val rejection = { id: String -> "HTTP/1.1 413 Too Large\r\n$id${SEAL}Content-Length: 2\r\n\r\nno" }
+            val tooLong = playEarly("/charge/x", rejection, end = end)
             assertEquals(413 to "no", tooLong.status to tooLong.body, name)
             val busy = "HTTP/1.1 503 Busy\r\nX-Buckthornbay-Not-Run: 1\r\nContent-Length: 2\r\n"
-            assertEquals(503, playEarly("/charge/x", { id -> "$busy$id\r\nno" }, end).status, name)
+            assertEquals(503, playEarly("/charge/x", { id -> "$busy$id\r\nno" }, end = end).status, name)
         }
     }
 
@@ -134,6 +154,9 @@
         /** Half of the time after which a silent upstream loses its requests, in milliseconds. */
         const val LIMIT_MILLIS = 750L
         const val LONG_BODY_BYTES = 4_000_000
+
+        /** Size of a body that fits into the buffers of the sockets on all machines. */
+        const val BUFFERED_BODY_BYTES = 100_000
         const val FIRST_BYTES = 500
         const val EARLY_PAUSE_MILLIS = 60L
         val ATTEMPT_ID = Regex("""X-Buckthornbay-Attempt-Id: *(\S+)""", RegexOption.IGNORE_CASE)
