Bring about idle connections in the test of the connection budget

Cause: the test sent 80 requests at once, so that none of the connections was idle. Change: each caller waits for its response and leaves its connection open before the next one comes. The checks are the same.

--- a/router/src/test/kotlin/buckthornbay/router/gateway/ConnectionBudgetTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/ConnectionBudgetTest.kt
@@ -6,13 +6,21 @@
 
 /** Tests that a host with few connections left goes on serving callers. */
 class ConnectionBudgetTest {
-    /** Callers open connections, send a request on each and leave it open; the limit is 100 connections. */
+    /**
+     * Callers open connections, send a request on each and leave it open; the limit is 100 connections.
+     *
+     * Each waits for its response before the next one comes, so that no request has to wait for room at the upstream.
+     */
     @Test
     fun idleConnectionsKeepAHostFromServing() = GatewayFixture.run(descriptors = 300) {
         upstream("plain-1", "plain") { it.answer() }
         awaitReady()
-        val idle = List(80) { number -> caller().also { it.send(request("/read/x", id = "id-$number")) } }
-        val answers = idle.map { it.answer() }
+        val idle = ArrayList<CallerSocket>()
+        val answers = List(80) { number ->
+            val caller = caller().also { idle += it }
+            caller.send(request("/read/x", id = "id-$number"))
+            caller.answer()
+        }
         assertEquals(80, answers.count { it.status == 200 }, "served")
         assertTrue(answers.count { it.headers["connection"] == "close" } >= 10, "callers are asked to close")
         GatewayFixture.awaitTrue("idle connections are closed") {
