Test the quarantine of long prompts in large fleets, and list what fails

Callers would see: with prompts of 400 shared parts at 30 hosts, sound requests are refused beside the crashing ones until one of them is answered. Cause: a message lists 256 parts, and a host that has answered no request of the route takes all of its parts for suspects. Change: two tests in virtual time. aCrashingPartIsNotFoundInALargeFleet (200 shared parts, 30 and 72 hosts) passes; aSharedPartOfLongPromptsIsBlamedInALargeFleet fails and is listed in KNOWN-RED.txt. The order of events no longer depends on object identities. A trial that let no crash speak against parts that may be missing from its list didn't find the crashing part among 200 requests with 30 parts of their own at six hosts, and was not kept. Measured: CutEvidenceTest, PartFilterTest, PromptQuarantineTest and LargeFleetQuarantineTest pass, but for the listed test.

--- a/core/src/test/kotlin/buckthornbay/core/quarantine/CutEvidenceTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/quarantine/CutEvidenceTest.kt
@@ -1,8 +1,10 @@
 package buckthornbay.core.quarantine
 
+import buckthornbay.core.KnownRed
 import buckthornbay.core.load.PromptPart
 import buckthornbay.core.load.TokenDemand
 import buckthornbay.protocol.WireJson
+import org.junit.jupiter.api.extension.ExtendWith
 import java.util.PriorityQueue
 import kotlin.random.Random
 import kotlin.test.Test
@@ -15,6 +17,7 @@
  * Guards against hosts that blame a sound part for crashes whose real cause is missing from their list, and against hosts that
  * never find the real cause.
  */
+@ExtendWith(KnownRed::class)
 class CutEvidenceTest {
     /**
      * Prompts of a route.
@@ -94,7 +97,7 @@
         private fun crash(host: PromptQuarantine, sentMillis: Long) {
             val upstream = "upstream-${crashedAtMillis.size}"
             crashedAtMillis += nowMillis
-            val lost = HashMap<PromptQuarantine, MutableList<Suspect>>()
+            val lost = LinkedHashMap<PromptQuarantine, MutableList<Suspect>>()
             val suspectsOf = { parts: List<String>, atMillis: Long -> parts.mapIndexed { i, part -> Suspect(part, i, atMillis) } }
             repeat(load.inProgress) {
                 val atMillis = nowMillis - 10 - random.nextLong(MAX_AGE_MILLIS)
@@ -130,15 +133,15 @@
         }
     }
 
-    private fun play(load: Load, check: (Fleet, String) -> Unit) {
-        for (hostCount in listOf(1, 6)) {
+    private fun play(load: Load, hostCounts: List<Int> = listOf(1, 6), check: (Fleet, String) -> Unit) {
+        for (hostCount in hostCounts) {
             for (periodMillis in listOf(400L, 2_500L)) {
                 check(Fleet(load, hostCount, periodMillis, seed = 58).run(), "$load, $hostCount hosts, every $periodMillis ms")
             }
         }
     }
 
-    private fun assertCauseIsFound(load: Load) = play(load) { fleet, case ->
+    private fun assertCauseIsFound(load: Load, hostCounts: List<Int> = listOf(1, 6)) = play(load, hostCounts) { fleet, case ->
         assertEquals(setOf(CRASHING), fleet.quarantined, case)
         assertEquals(0, fleet.refusedSound, "sound requests that were refused: $case")
         val fifthMillis = fleet.crashedAtMillis.getOrElse(CRASHES_TO_LEARN_FROM - 1) { fleet.crashedAtMillis.last() }
@@ -161,6 +164,14 @@
         assertCauseIsFound(Load(shared = 20, crashingIndex = 20, inProgress = 200, ownParts = 30))
     }
 
+    /** Each host sees a few of the crashes and of the answers. */
+    @Test
+    fun aCrashingPartIsNotFoundInALargeFleet() = assertCauseIsFound(Load(shared = 200, crashingIndex = 200), listOf(30, 72))
+
+    /** A message lists fewer parts than such a prompt has, and most hosts don't know that the shared ones were answered. */
+    @Test
+    fun aSharedPartOfLongPromptsIsBlamedInALargeFleet() = assertCauseIsFound(Load(shared = 400, crashingIndex = 0), listOf(30))
+
     /** Callers that send nothing but heads full of parts can hide a crashing part, but must not have a sound one blamed. */
     @Test
     fun aSharedPartIsBlamedWhenMadeUpPartsPushOutTheCause() =
