Hold back bytes during a link fault of the soak instead of skipping them

Cause: not the router. The fault ONE_WAY was on that upstream's link for 115 ms, and the proxy discarded what the upstream sent meanwhile, and passed on what it sent afterwards: a gap within a TCP connection, which no network makes. Where the gap held whole chunks, no router could notice.

Change: the proxy holds back the bytes and passes them on when the fault ends, as TCP does. The check is as strict as before, and requests and responses now arrive late, which they could not before.

--- a/soak/src/main/kotlin/buckthornbay/soak/FaultProxy.kt
+++ b/soak/src/main/kotlin/buckthornbay/soak/FaultProxy.kt
@@ -14,17 +14,21 @@
     /** Forwards all bytes after a short delay. */
     DELAYED,
 
-    /** Discards bytes in both directions and keeps connections open. */
+    /** Forwards nothing in either direction and keeps connections open. */
     SILENT,
 
-    /** Discards bytes sent by the target and forwards those of the client. */
+    /** Forwards the bytes of the client and none that the target sends. */
     ONE_WAY,
 
     /** Closes new connections immediately. */
     REFUSED,
 }
 
-/** A loopback TCP proxy in front of [target] that delays or discards bytes and resets connections. */
+/**
+ * A loopback TCP proxy in front of [target] that delays or holds back bytes and resets connections.
+ *
+ * Bytes that a fault holds back are forwarded when it ends: TCP sends lost packets again and never skips any.
+ */
 public class FaultProxy(private val target: String) : AutoCloseable {
     private class ProxiedConnection(val client: Socket, val server: Socket)
 
@@ -73,10 +77,9 @@
             while (true) {
                 val count = from.getInputStream().read(buffer)
                 if (count < 0) break
-                val activeFault = fault
-                if (activeFault == LinkFault.DELAYED) Thread.sleep(DELAY_MILLIS)
-                val discarded = activeFault == LinkFault.SILENT || (activeFault == LinkFault.ONE_WAY && toClient)
-                if (!discarded) to.getOutputStream().write(buffer, 0, count)
+                if (fault == LinkFault.DELAYED) Thread.sleep(DELAY_MILLIS)
+                while (holdsBack(toClient) && !from.isClosed) Thread.sleep(POLL_MILLIS)
+                to.getOutputStream().write(buffer, 0, count)
             }
         } catch (_: IOException) {
             // Propagates the failure of one side by closing both sockets below.
@@ -85,8 +88,15 @@
         to.close()
     }
 
+    private fun holdsBack(toClient: Boolean): Boolean = when (fault) {
+        LinkFault.SILENT -> true
+        LinkFault.ONE_WAY -> toClient
+        else -> false
+    }
+
     private companion object {
         const val BUFFER_BYTES = 16_384
+        const val POLL_MILLIS = 5L
 
         /** Delay of a slow link, in milliseconds; equal to a few round trips between regions. */
         const val DELAY_MILLIS = 60L
