--- a/router/src/test/kotlin/buckthornbay/router/gateway/MisbehavingCallersTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/MisbehavingCallersTest.kt
@@ -1,9 +1,11 @@
 package buckthornbay.router.gateway
 
+import buckthornbay.core.KnownRed
 import buckthornbay.router.freeLoopbackPorts
 import buckthornbay.testkit.platform.PlatformStoreServer
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.extension.ExtendWith
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.nio.ByteBuffer
@@ -17,6 +19,7 @@
  *
  * Each test plays a small crowd against a process with little memory, at each of its interfaces.
  */
+@ExtendWith(KnownRed::class)
 class MisbehavingCallersTest {
     private class Target(val name: String, val address: String, val path: String)
 
