--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedEngine.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedEngine.kt
@@ -83,6 +83,12 @@
     }
     private var stepping = false
 
+    /** Number of requests that wait for a slot. */
+    val waitingCount: Int get() = waiting.size
+
+    /** Number of slots without a request; none while the engine refuses connections. */
+    val freeSlots: Int get() = if (isStopped) 0 else shape.slots - running.size
+
     /** Whether the engine refuses connections. */
     var isStopped = false
         private set
--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -99,11 +99,14 @@
     var heldBack = false
 }
 
-/** What hosts sent to the engines in one second and what these began, in tokens, and how long the begun requests waited there. */
+/** What hosts sent to the engines in one second and what these began, in tokens, and how it waited there. */
 class SecondOfEngines {
     var sentTokens = 0.0
     var begunTokens = 0.0
     val waitsMillis = ArrayList<Double>()
+
+    /** Slots without a request for which a request waits at some other engine, at several moments of the second. */
+    val unusedSlots = ArrayList<Int>()
 }
 
 /** What became of the requests whose callers sent them first in one second. */
@@ -158,6 +161,7 @@
         for (crash in faults.crashes) schedule(crash.atMillis.toDouble()) { crash.engines.forEach { engines[it].crash() } }
         faults.outages.forEach(::scheduleOutage)
         restarts.forEach(::scheduleRestart)
+        countUnusedSlots()
         for (workspace in 0 until plan.workspaces) for (kind in plan.classes) scheduleArrival(workspace, kind)
         while (timeMillis < seconds * MILLIS_PER_SECOND) {
             val event = events.poll()
@@ -170,6 +174,11 @@
         events += Event(timeMillis + delayMillis, sequence++, action)
     }
 
+    private fun countUnusedSlots() {
+        engineSeconds[second].unusedSlots += minOf(engines.sumOf { it.waitingCount }, engines.sumOf { it.freeSlots })
+        schedule(SAMPLE_MILLIS) { countUnusedSlots() }
+    }
+
     private fun scheduleArrival(workspace: Int, kind: TrafficClass) {
         val rate = kind.perSecond * weightOf(workspace) * factorOf(workspace) / MILLIS_PER_SECOND
         val untilNextMillis = -ln(1.0 - random.nextDouble()) / rate
@@ -486,6 +495,7 @@
         private const val EXCHANGE_MILLIS = 400.0
         private const val MAINTENANCE_MILLIS = 200.0
         private const val REDRAW_MILLIS = 500.0
+        private const val SAMPLE_MILLIS = 50.0
         private const val MAX_SENDS = 4
     }
 }
