--- a/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/SimulatedFleet.kt
@@ -105,6 +105,9 @@
     var begunTokens = 0.0
     val waitsMillis = ArrayList<Double>()
 
+    /** How long the hosts expected the begun requests to wait. */
+    val expectedWaitsMillis = ArrayList<Double>()
+
     /** Slots without a request for which a request waits at some other engine, at several moments of the second. */
     val unusedSlots = ArrayList<Int>()
 }
@@ -433,6 +436,7 @@
                     secondOf(caller.workspace).begunTokens += demand.workTokens
                     engineSeconds[second].begunTokens += demand.workTokens
                     engineSeconds[second].waitsMillis += timeMillis - sentAtMillis
+                    engineSeconds[second].expectedWaitsMillis += choice.expectedMillis
                     atHost {
                         upstream.load.responseStarted(clock.nowMillis(), id, report)
                         host.dispatcher.responseStarted(id)
--- a/core/src/test/kotlin/buckthornbay/core/admission/UnusedSlotsTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/UnusedSlotsTest.kt
@@ -12,13 +12,29 @@
     @Test
     fun requestsDoNotQueueWhileOtherEnginesHaveFreeSlots() {
         for (seed in 1L..3L) {
-            val fleet = SimulatedFleet(ENGINES, TrafficPlan(CLASSES, WORKSPACES, ::fewHosts, STATED, emptyList()), seed, HOSTS)
-            fleet.run(SECONDS)
-            val unused = fleet.engineSeconds.subList(KNOWN_FROM_SECOND, SECONDS).flatMap { it.unusedSlots }.average()
+            val unused = runSeconds(seed).flatMap { it.unusedSlots }.average()
             assertTrue(unused <= ENGINES.count, "seed $seed: $unused slots are free on average while requests queue")
         }
     }
 
+    /** Hosts expected a tenth of the wait, because they took the prefill for the only bottleneck. */
+    @Test
+    fun hostsExpectTheWaitForASlot() {
+        for (seed in 1L..3L) {
+            val seconds = runSeconds(seed)
+            val waitMillis = seconds.flatMap { it.waitsMillis }.average()
+            val expectedMillis = seconds.flatMap { it.expectedWaitsMillis }.average()
+            assertTrue(expectedMillis in waitMillis / 2..waitMillis * 2, "seed $seed: $expectedMillis ms are expected, $waitMillis ms pass")
+        }
+    }
+
+    /** Runs a fleet with [seed] and returns what happened at the engines, by second. */
+    private fun runSeconds(seed: Long): List<SecondOfEngines> {
+        val fleet = SimulatedFleet(ENGINES, TrafficPlan(CLASSES, WORKSPACES, ::fewHosts, STATED, emptyList()), seed, HOSTS)
+        fleet.run(SECONDS)
+        return fleet.engineSeconds.subList(KNOWN_FROM_SECOND, SECONDS)
+    }
+
     private fun fewHosts(workspace: Int): List<Int>? = when (workspace) {
         1 -> listOf(33, 39, 45)
         6 -> listOf(11, 46)
