Let a host with a large part of the limit to pending work exceed it by one request only

Cause: a host might exceed its part 2.5 times for requests that are due. That was meant for parts that are smaller than one request; a host on which all callers of a large workspace are has a part of many requests. The class of fault: an allowance for small parts that is stated as a factor, so that it grows with the part.

Change: 2.5 parts as before, but at most the limit and 12,000 tokens, a large request.

Evidence: DispatcherTest.dueRequestsOfAHostWithALargePartOfTheLimitWaitInTheEngines failed before (both requests were sent) and passes.

--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -299,17 +299,21 @@
     /** Returns why [request] is left queued because of what waits in the engines, or on other hosts; null if it isn't. */
     private fun heldBackBy(nowMillis: Long, request: DispatchedRequest): HoldReason? {
         val isDue = request.rank == WaitingRank.DUE
-        val parts = if (isDue) DUE_LIMIT_PARTS else BEYOND_SHARE_LIMIT_PARTS
         val isLimited = request.demand != null && !request.isBelowShare
-        if (isLimited && isPendingLimitReached(request.service, nowMillis, parts)) return HoldReason.PENDING_LIMIT
+        if (isLimited && isPendingLimitReached(request.service, nowMillis, isDue)) return HoldReason.PENDING_LIMIT
         val yields = !isDue && request.workspaceId?.let { accounts.backlog.shouldYield(nowMillis, it) } == true
         return if (yields) HoldReason.YIELDING else null
     }
 
-    private fun isPendingLimitReached(service: ServiceId, nowMillis: Long, parts: Double): Boolean {
+    private fun isPendingLimitReached(service: ServiceId, nowMillis: Long, isDue: Boolean): Boolean {
         val known = pendingLimits[service]?.takeIf { nowMillis - it.asOfMillis < LIMIT_REFRESH_MILLIS }
         val limit = known ?: PendingLimit(pendingLimit(service), nowMillis).also { pendingLimits[service] = it }
-        return accounts.engineWork.ownWork(nowMillis, service).pendingTokens > limit.tokens * parts
+        val maxTokens = if (isDue) {
+            minOf(limit.tokens * DUE_LIMIT_PARTS, limit.tokens + DUE_ALLOWANCE_TOKENS)
+        } else {
+            limit.tokens * BEYOND_SHARE_LIMIT_PARTS
+        }
+        return accounts.engineWork.ownWork(nowMillis, service).pendingTokens > maxTokens
     }
 
     /** Returns whether requests are queued that the limit to all engines of [service] together doesn't hold back. */
@@ -360,6 +364,12 @@
          */
         const val DUE_LIMIT_PARTS = 2.5
 
+        /**
+         * Work beyond the limit that a request that is due may find pending, in tokens: a large request. Where the limit is larger
+         * than that, parts of it would let work wait in the engines for longer.
+         */
+        const val DUE_ALLOWANCE_TOKENS = 12_000.0
+
         /**
          * Work that this host may have pending before a request beyond a share has to wait, in parts of the limit: little, as
          * the shares divide what the engines can do, and what they leave is the error of the estimate.
--- a/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/admission/DispatcherTest.kt
@@ -160,6 +160,18 @@
         assertEquals(listOf("below"), sent)
     }
 
+    /** Hosts with many callers let work wait in the engines for 2.5 times the time that the limit stands for. */
+    @Test
+    fun dueRequestsOfAHostWithALargePartOfTheLimitWaitInTheEngines() {
+        val limited = Dispatcher({ listOf(upstream) }, accounts, Placement(region), clock) { 100_000.0 }
+        val demand = TokenDemand(100, 10, emptyList())
+        accounts.engineWork.sent(service, 105_000.0)
+        limited.submit(TestRequest("a request beyond the limit", demand))
+        accounts.engineWork.sent(service, 10_000.0)
+        limited.submit(TestRequest("two requests beyond the limit", demand))
+        assertEquals(listOf("a request beyond the limit"), sent)
+    }
+
     @Test
     fun requestsThatAPauseOutlastsAreRefusedWithTheTimeOfItsEnd() {
         pausedUntilMillis = QUEUE_MILLIS + 1
