--- a/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/GatewayFixture.kt
@@ -92,6 +92,13 @@
         return upstream
     }
 
+    /** Starts an engine as [upstream] does, whose software has [version]. */
+    fun engineOf(version: String, id: String, script: (ScriptedExchange) -> Unit): ScriptedUpstream {
+        val upstream = ScriptedUpstream(script).also { upstreams += it }
+        register(id, "models", upstream.address, softwareVersion = version)
+        return upstream
+    }
+
     fun register(
         id: String,
         service: String,
@@ -100,8 +107,10 @@
         sequence: Int = 1,
         startedAtMillis: Long = 1_000,
         zone: String = "zone",
+        softwareVersion: String = "v1",
     ) {
-        val registration = buildRegistration(service, address, state, sequence, startedAtMillis, zone)
+        val registration =
+            buildRegistration(service, address, state, sequence, startedAtMillis, zone, softwareVersion = softwareVersion)
         registered[id] = registration
         store.put("servers", id, registration)
     }
--- a/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformDocuments.kt
+++ b/testkit/src/main/kotlin/buckthornbay/testkit/platform/PlatformDocuments.kt
@@ -172,6 +172,7 @@
  * @param sequence number of the write, incremented by the upstream, so that a delayed write is recognized as stale.
  * @param startedAtMillis Unix time at which the upstream started, in milliseconds; identifies its incarnation.
  * @param coldLeftMillis time for which the upstream remains cold, in milliseconds.
+ * @param softwareVersion version of the upstream's software.
  */
 public fun buildRegistration(
     service: String,
@@ -181,11 +182,12 @@
     startedAtMillis: Long = STARTED_AT_MILLIS,
     zone: String = "zone",
     coldLeftMillis: Long = 0,
+    softwareVersion: String = "v1",
 ): JsonElement = buildJsonObject {
     put("Backend", service)
     put("Address", address)
     put("Zone", zone)
-    put("Version", "v1")
+    put("Version", softwareVersion)
     put("Slots", REGISTERED_SLOTS)
     put("State", state)
     put("ColdLeftMs", coldLeftMillis)
