--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -365,8 +365,8 @@
         const val DUE_LIMIT_PARTS = 2.5
 
         /**
-         * Work beyond the limit that a request that is due may find pending, in tokens: a large request. Where the limit is larger
-         * than that, parts of it would let work wait in the engines for longer.
+         * Work beyond the limit that a request that is due may find pending, in tokens: a large request. Where the limit is
+         * larger than that, parts of it would let work wait in the engines for longer.
          */
         const val DUE_ALLOWANCE_TOKENS = 12_000.0
 
