Bind a stream to the software version that began it

Cause: the software version in registrations was not decoded. The router resumed a broken stream at any upstream of the service, and treated a caller that took its stream up again like a new one, at whichever host. The class of fault: what binds a piece of work to its first server is kept only where the work began, or nowhere.

Change: registrations need a version. A response goes on only at the version that began it; a caller's resumption is bound by the attempt that it names. A version is declared in the platform's store before streams begin at it and withdrawn when no caller can come back with one, so that a single declared version answers for all streams of a service. While there are several, each host stores in batches where its streams have begun, for callers that come back to another host or after all hosts failed.

--- a/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
+++ b/core/src/main/kotlin/buckthornbay/core/admission/Dispatcher.kt
@@ -47,6 +47,9 @@
     /** The only regions whose upstreams may get the request; null if all may. */
     public val homeRegions: Set<RegionId>? get() = null
 
+    /** The only software versions whose upstreams may get the request; null if all may. */
+    public val softwareVersions: Set<String>? get() = null
+
     /** Whether its workspace asks for less than its share, on all hosts together. */
     public val isBelowShare: Boolean get() = false
 
@@ -243,9 +246,9 @@
     private fun refuseWhileUnusable(service: ServiceId) {
         if (service in placing) return
         val nowMillis = clock.nowMillis()
-        val byHomes = queueFor(service).all().groupBy { it.request.homeRegions }
-        for ((homeRegions, waiting) in byHomes) {
-            val usableFromMillis = candidates(service, homeRegions).minOfOrNull { it.usableFromMillis } ?: continue
+        val bySelection = queueFor(service).all().groupBy { it.request.homeRegions to it.request.softwareVersions }
+        for (waiting in bySelection.values) {
+            val usableFromMillis = candidatesFor(waiting.first().request).minOfOrNull { it.usableFromMillis } ?: continue
             if (usableFromMillis <= nowMillis) continue
             waiting.filter { it.queueUntilMillis < usableFromMillis }.map { it.request }.forEach { request ->
                 withdraw(request)
@@ -339,17 +342,26 @@
         return if (isLargeFleet) paces.getOrPut(service) { HostPace() } else null
     }
 
-    /** Returns the upstreams that may serve [request]; none outside its home regions. */
-    private fun candidatesFor(request: DispatchedRequest): List<Candidate> = candidates(request.service, request.homeRegions)
-
-    private fun candidates(service: ServiceId, homeRegions: Set<RegionId>?): List<Candidate> {
-        val all = candidates(service)
-        return if (homeRegions == null) all else all.filter { it.region in homeRegions }
+    /** Returns the upstreams that may serve [request]: those in its home regions that have one of its software versions. */
+    private fun candidatesFor(request: DispatchedRequest): List<Candidate> {
+        val homeRegions = request.homeRegions
+        val versions = request.softwareVersions
+        val all = candidates(request.service)
+        if (homeRegions == null && versions == null) return all
+        return all.filter { candidate ->
+            (homeRegions == null || candidate.region in homeRegions) &&
+                (versions == null || candidate.softwareVersion in versions)
+        }
     }
 
     private fun unservableReason(request: DispatchedRequest): String {
-        val isElsewhere = request.homeRegions != null && candidates(request.service).isNotEmpty()
-        return if (isElsewhere) "no upstream in the home regions may be used" else "no upstream of the service may be used"
+        val homeRegions = request.homeRegions
+        val atHome = candidates(request.service).filter { homeRegions == null || it.region in homeRegions }
+        return when {
+            atHome.isNotEmpty() -> "no upstream of the software version that began the stream may be used"
+            homeRegions != null && candidates(request.service).isNotEmpty() -> "no upstream in the home regions may be used"
+            else -> "no upstream of the service may be used"
+        }
     }
 
     private fun loadsOf(candidates: List<Candidate>, nowMillis: Long): List<UpstreamLoad> =
--- a/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/Placement.kt
@@ -10,6 +10,7 @@
  *
  * @property region region of the upstream; null if it is unknown.
  * @property cache model of the engine's prefix cache; null for a plain service.
+ * @property softwareVersion version of the upstream's software; null if it is unknown.
  * @param pausedUntilMillis time until which the upstream wants no requests from this host, in milliseconds.
  */
 public class Candidate(
@@ -18,6 +19,7 @@
     public val load: UpstreamLoad,
     public val reliability: UpstreamReliability,
     public val cache: PrefixCacheModel?,
+    public val softwareVersion: String? = null,
     private val pausedUntilMillis: () -> Long = { Long.MIN_VALUE / 2 },
 ) {
     /** Time from which the upstream may be used, in milliseconds: the end of its pause and of the backoff after a failure. */
--- a/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/buckthornbay/core/registry/UpstreamRegistry.kt
@@ -14,6 +14,7 @@
  * under the same id.
  * @property sequence sequence number that increases with each write of this incarnation; null if it is unknown.
  * @property coldLeftMillis time for which the upstream remains cold after this write, in milliseconds.
+ * @property softwareVersion version of the upstream's software, which has no order; null if it is unknown.
  */
 public data class UpstreamEntry(
     public val id: UpstreamId,
@@ -25,6 +26,7 @@
     public val startedAtMillis: Long?,
     public val sequence: Long?,
     public val coldLeftMillis: Long = 0,
+    public val softwareVersion: String? = null,
 ) {
     /** Identity of this incarnation in messages between hosts. */
     public val incarnation: String = "$id@$startedAtMillis"
--- a/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
+++ b/core/src/main/kotlin/buckthornbay/core/wire/CallerInterface.kt
@@ -9,6 +9,7 @@
  * @property attemptId identifier of one attempt of a caller; upstreams echo it.
  * @property remainingMillis remaining time until the sender's deadline, in milliseconds.
  * @property lastEventId identifier of the last event of a stream that the receiver has.
+ * @property resumedAttempt identifier of the caller's attempt that brought the first event of the stream that is resumed.
  * @property responseSignature signature of an upstream, required on every successful response.
  * @property workspace workspace of the request.
  * @property expectedUpstream the only upstream that may run the request.
@@ -27,6 +28,7 @@
     public val attemptId: String,
     public val remainingMillis: String,
     public val lastEventId: String,
+    public val resumedAttempt: String,
     public val responseSignature: String,
     public val workspace: String,
     public val expectedUpstream: String,
--- a/core/src/main/kotlin/buckthornbay/core/wire/FleetFormat.kt
+++ b/core/src/main/kotlin/buckthornbay/core/wire/FleetFormat.kt
@@ -22,6 +22,12 @@
     /** The kind of the store objects that are named like the quarantined prompt parts. */
     public val quarantineKind: String
 
+    /** The kind of the store objects that name the software versions at which streams may have begun. */
+    public val declaredVersionsKind: String
+
+    /** The kind of the store objects, one of each host, with the versions at which streams of callers have begun. */
+    public val streamOriginsKind: String
+
     /** Decodes a configuration, or returns a description of the error. */
     public fun configuration(value: JsonElement): Result<FleetConfiguration, String>
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/CallerHandler.kt
@@ -3,6 +3,9 @@
 import buckthornbay.core.admission.BufferBudget
 import buckthornbay.core.admission.RequestFingerprint
 import buckthornbay.core.load.TokenDemand
+import buckthornbay.core.resumption.StreamKey
+import buckthornbay.core.routing.Route
+import buckthornbay.core.routing.RouteKind
 import buckthornbay.core.routing.RouteMatch
 import buckthornbay.core.routing.RouteTable
 import buckthornbay.core.routing.homeRegionsOf
@@ -80,14 +83,16 @@
         table: RouteTable,
         match: RouteMatch.Found,
     ): CallerWork {
-        val service = table.selectService(match.route, id)
+        val resumedId = resumedAttempt(request, match.route)
+        val service = table.selectService(match.route, resumedId ?: id)
             ?: return reject(request, caller, id, UNAVAILABLE, "the route leads to no service", SHUTDOWN_RETRY_S)
         val remainingText = request.headers[names.remainingMillis]
         val remainingMillis = remainingText?.trim()?.toDoubleOrNull()?.toLong()
         if (remainingText != null && (remainingMillis == null || remainingMillis < 0)) {
             return reject(request, caller, id, BAD_REQUEST, "${names.remainingMillis} must be a number of milliseconds")
         }
-        val terms = termsOf(request, id, service, match, remainingMillis ?: match.route.timeoutMillis)
+        val resumes = resumedId?.let { StreamKey.of(match.workspace?.id, it) }
+        val terms = termsOf(request, id, service, match, remainingMillis ?: match.route.timeoutMillis).copy(resumes = resumes)
         if (isCutOffByShutdown(terms)) {
             return reject(request, caller, id, UNAVAILABLE, "not run: this host is shutting down", SHUTDOWN_RETRY_S)
         }
@@ -98,6 +103,16 @@
         return proxied
     }
 
+    /**
+     * Returns the attempt that brought the first event of the stream that [request] takes up again; null if it begins a new one.
+     *
+     * A caller that has events of a stream but doesn't name its attempt gets an id that belongs to none.
+     */
+    private fun resumedAttempt(request: ReceivedRequest, route: Route): String? {
+        if (route.kind != RouteKind.EVENT_STREAM || !route.resumable) return null
+        return request.headers[names.resumedAttempt] ?: request.headers[names.lastEventId]?.let { "" }
+    }
+
     /** Returns whether the shutdown may come before the response to a request that can't be repeated elsewhere then. */
     private fun isCutOffByShutdown(terms: RequestTerms): Boolean =
         !terms.route.repeatable && endsAtMillis?.let { terms.deadlineAtMillis > it } == true
@@ -121,6 +136,7 @@
             route = match.route,
             workspace = match.workspace?.id,
             service = service,
+            resumes = null,
             homeRegions = homeRegionsOf(match.route, match.workspace),
             demand = demand,
             fingerprint = fingerprint,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/DecisionLog.kt
@@ -10,6 +10,7 @@
 import buckthornbay.core.request.FailureKind
 import buckthornbay.core.request.RequestState
 import buckthornbay.core.request.ResponseEndDecision
+import buckthornbay.core.resumption.ServiceVersion
 import buckthornbay.protocol.ServiceId
 import buckthornbay.protocol.UpstreamId
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -53,6 +54,12 @@
             "longest_pause_ms=${times.stream.longestPauseMillis} reason=\"$reason\""
     }
 
+    /** Logs where the stream that the caller takes up again has begun; null if nobody knows it. */
+    fun streamTakenUp(terms: RequestTerms, origin: ServiceVersion?) = logRequestLine {
+        "event=stream_taken_up id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} " +
+            "origin_service=${origin?.service} origin_version=${origin?.softwareVersion}"
+    }
+
     fun refused(terms: RequestTerms, reason: String, inputs: RefusalInputs) = logRequestLine {
         "event=refused id=${terms.id} route=${terms.route.name} workspace=${terms.workspace} rank=${terms.rank} " +
             "waiting=${inputs.waitingCount} asked_tokens_per_s=${inputs.demandTokensPerSecond.toLong()} " +
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayContext.kt
@@ -50,6 +50,8 @@
 
     lateinit var dispatcher: Dispatcher
 
+    lateinit var streamVersions: StreamVersions
+
     /** Requests in progress. */
     val requests = LinkedHashSet<ProxiedRequest>()
 
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -165,6 +165,14 @@
         log,
         scope,
     )
+    private val streamVersions = StreamVersions(
+        store,
+        deployment.format,
+        StreamVersionsView(settings.host, { membership.live().map { it.host } }, { fleetView.routes }, registry, clock),
+        StreamVersionsSettings(settings.store.writesPerSecond, settings.bounds.drainMillis),
+        log,
+        scope,
+    )
     private val watcher =
         StoreWatcher(
             store,
@@ -216,6 +224,7 @@
             ::pendingLimit,
         )
         context.connectionBudget = connectionBudget
+        context.streamVersions = streamVersions
         metrics.buffers(context.buffers)
         metrics.connections(openConnections)
         storeKnowledge.run { mapOf("configuration" to configuration, "registrations" to registrations) }
@@ -244,6 +253,7 @@
         watcher.onResponse = peers::passOnStatement
         scope.launch { watcher.start(scope) }
         scope.launch { quarantineStore.read(crashWatch::restore) }
+        streamVersions.start()
         scope.launch { peers.start() }
         log.stateChange("event=started host=${settings.host} incarnation=$incarnation callers=${settings.listen.callers}")
     }
--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewaySettings.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewaySettings.kt
@@ -58,9 +58,19 @@
 @Serializable
 public data class ProcessLimits(public val descriptors: Int? = null)
 
-/** Address of the platform's store, as `IP:PORT`. */
+/**
+ * The platform's store.
+ *
+ * @property address its address, as `IP:PORT`.
+ * @property writesPerSecond write calls per second that it takes from all hosts together.
+ */
 @Serializable
-public data class StoreSettings(public val address: String)
+public data class StoreSettings(public val address: String, public val writesPerSecond: Double = DEFAULT_WRITES_PER_SECOND) {
+    private companion object {
+        /** What the smallest stores of the platform take. */
+        const val DEFAULT_WRITES_PER_SECOND = 400.0
+    }
+}
 
 /** An availability zone and its region. */
 @Serializable
@@ -113,6 +123,7 @@
                 listOfNotNull(configurationMillis, drainMillis, contactMillis, evacuationMillis).any { it < MIN_LAG_MILLIS }
             }
         },
+        "writesPerSecond must be above 0".takeIf { settings.store.writesPerSecond <= 0 },
         "descriptors must be at least $MIN_DESCRIPTORS".takeIf {
             settings.limits.descriptors?.let { it < MIN_DESCRIPTORS } == true
         },
--- a/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/ProxiedRequest.kt
@@ -14,6 +14,8 @@
 import buckthornbay.core.request.RequestLifecycle
 import buckthornbay.core.request.RequestState
 import buckthornbay.core.request.RetryAllowance
+import buckthornbay.core.resumption.ServiceVersion
+import buckthornbay.core.resumption.StreamKey
 import buckthornbay.core.routing.RouteKind
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.RequestEnd
@@ -40,9 +42,10 @@
     DispatchedRequest,
     AttemptListener {
     private val route = terms.route
+    private val isResumable = route.kind == RouteKind.EVENT_STREAM && route.resumable
     private val lifecycle = RequestLifecycle(
         unrepeatable = !route.repeatable,
-        resumable = route.kind == RouteKind.EVENT_STREAM && route.resumable,
+        resumable = isResumable,
         budget = RepetitionAllowance(context.access.retryBudgets.allowanceFor(terms.service)),
         limits = AttemptLimits(
             maxRuns = route.maxAttempts,
@@ -61,6 +64,9 @@
     private val reply = CallerReply(context, terms, caller)
     private val progress = StreamProgress()
     private val streamTimes = StreamTimes()
+
+    /** The software version of the upstream that began the stream; null before that, and if the stream can't be resumed. */
+    private var boundVersion: String? = null
     private var attempt: Attempt? = null
     private var failedResponse: BufferedResponse? = null
     private var deadlineTimer: ScheduledFuture<*>? = null
@@ -80,6 +86,10 @@
     override val workspaceId: WorkspaceId? get() = terms.workspace
     override val isBelowShare: Boolean get() = terms.isBelowShare
     override val homeRegions: Set<RegionId>? get() = terms.homeRegions
+    override val softwareVersions: Set<String>? get() = when {
+        !isResumable -> null
+        else -> boundVersion?.let(::setOf) ?: context.streamVersions.forNewStreams(service)
+    }
     override val demand: TokenDemand? get() = terms.demand
     override val objectiveMillis: Long? get() = route.objectiveMillis
     override val mayRetry: Boolean get() = route.repeatable
@@ -106,9 +116,31 @@
         deadlineTimer = context.eventLoop.schedule(::deadlineReached, leftMillis.coerceAtLeast(0), TimeUnit.MILLISECONDS)
         val verdict = terms.demand?.let(context.access.crashWatch::verdict) ?: QuarantineVerdict.Accepted
         isTrial = verdict == QuarantineVerdict.Trial
-        if (verdict is QuarantineVerdict.Refused) refuseQuarantined(verdict.part, verdict.retryAfterMillis) else queue()
+        when {
+            verdict is QuarantineVerdict.Refused -> refuseQuarantined(verdict.part, verdict.retryAfterMillis)
+            terms.resumes != null -> context.streamVersions.find(terms.resumes, service) { origin -> takeUp(origin) }
+            else -> queue()
+        }
     }
 
+    /** Queues the request for an upstream of [origin], which began the stream that its caller takes up again. */
+    private fun takeUp(origin: ServiceVersion?) {
+        context.log.streamTakenUp(terms, origin)
+        when {
+            ended -> Unit
+            origin == null -> refuseTakeUp("the software version that began the stream isn't known")
+            origin.service != service -> refuseTakeUp("the route doesn't lead to the service that began the stream any more")
+            else -> {
+                boundVersion = origin.softwareVersion
+                queue()
+            }
+        }
+    }
+
+    /** Refuses a stream that can't go on later either, so that its caller doesn't come back. */
+    private fun refuseTakeUp(reason: String) =
+        refuse(reason, (terms.callerDeadlineAtMillis - context.clock.nowMillis()).coerceAtLeast(0))
+
     /**
      * Ends the request if it has a quarantined prompt part and its response has not begun.
      *
@@ -211,6 +243,7 @@
         lifecycle.responseStarted()
         responseStarted = true
         isStreamFramed = isFramed
+        if (isResumable) attempt.upstream.entry.softwareVersion?.let(::bind)
         context.metrics.recordBegunTokens(terms)
         streamTimes.recordUpstreamWait(context.clock.nowMillis() - attempt.sentAtMillis)
         streamTimes.recordFirstEvent(context.clock.nowMillis() - terms.arrivedAtMillis)
@@ -218,6 +251,16 @@
         caller.beginStream(head.status(), responseHeadersToForward(head.headers()))
     }
 
+    /** Binds the stream, which has begun, to [version], here and wherever its caller takes it up again. */
+    private fun bind(version: String) {
+        boundVersion = version
+        val origin = ServiceVersion(service, version)
+        val untilMillis = maxOf(terms.callerDeadlineAtMillis, terms.deadlineAtMillis)
+        for (key in listOfNotNull(terms.resumes, StreamKey.of(workspaceId, id))) {
+            context.streamVersions.begun(key, origin, untilMillis)
+        }
+    }
+
     override fun eventReceived(attempt: Attempt, event: StreamEvent) {
         when (progress.accept(event.id)) {
             StreamProgress.Verdict.NEXT -> caller.writeChunk(event.bytes)
--- a/router/src/main/kotlin/buckthornbay/router/gateway/RequestTerms.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/RequestTerms.kt
@@ -3,6 +3,7 @@
 import buckthornbay.core.admission.RequestFingerprint
 import buckthornbay.core.admission.WaitingRank
 import buckthornbay.core.load.TokenDemand
+import buckthornbay.core.resumption.StreamKey
 import buckthornbay.core.routing.Route
 import buckthornbay.protocol.RegionId
 import buckthornbay.protocol.ServiceId
@@ -11,6 +12,7 @@
 /**
  * The parameters and deadlines of a caller's request.
  *
+ * @property resumes the stream that the caller takes up again; null if it begins a new one.
  * @property homeRegions the only regions whose upstreams may get the request; null if all may.
  * @property demand prompt and answer tokens that the request needs; null if the caller did not state them.
  * @property fingerprint identifies the request when its caller repeats it after a refusal; null if it can't be identified.
@@ -27,6 +29,7 @@
     val route: Route,
     val workspace: WorkspaceId?,
     val service: ServiceId,
+    val resumes: StreamKey?,
     val homeRegions: Set<RegionId>?,
     val demand: TokenDemand?,
     val fingerprint: RequestFingerprint?,
--- a/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/UpstreamTable.kt
@@ -107,7 +107,7 @@
             firstCredit,
         ) { nowMillis -> ownLimit(entry, nowMillis) }
         val cache = engine?.let { PrefixCacheModel() }
-        val candidate = Candidate(entry.id, regionOfZone(entry.zone), load, UpstreamReliability(), cache) {
+        val candidate = Candidate(entry.id, regionOfZone(entry.zone), load, UpstreamReliability(), cache, entry.softwareVersion) {
             notices.pausedUntilMillis(entry)
         }
         return UpstreamState(entry, candidate, clock)
@@ -118,6 +118,8 @@
         hostFraction = hostFraction,
     )
 
-    private fun UpstreamEntry.sameIncarnation(other: UpstreamEntry): Boolean =
-        address == other.address && startedAtMillis == other.startedAtMillis && service == other.service
+    private fun UpstreamEntry.sameIncarnation(other: UpstreamEntry): Boolean = address == other.address &&
+        startedAtMillis == other.startedAtMillis &&
+        service == other.service &&
+        softwareVersion == other.softwareVersion
 }
--- a/router/src/test/kotlin/buckthornbay/router/gateway/MixedVersionsTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/MixedVersionsTest.kt
@@ -6,6 +6,7 @@
 import buckthornbay.testkit.platform.PlatformStoreServer
 import buckthornbay.testkit.platform.ScriptedExchange
 import buckthornbay.testkit.platform.ScriptedUpstream
+import buckthornbay.testkit.platform.callerRequest
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.extension.ExtendWith
@@ -15,7 +16,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** Streams whose upstream fails while upstreams of another software version serve; what two versions write doesn't fit together. */
+/** Streams whose upstream fails while upstreams of another version serve; what two versions write doesn't fit together. */
 @ExtendWith(KnownRed::class)
 class MixedVersionsTest {
     /** Held by the first upstream of a stream after [BREAK_AFTER] events, until it may break off. */
@@ -46,20 +47,19 @@
 
     /** Sends a request with the id "first" and returns its connection when the events before the break have arrived. */
     private fun GatewayFixture.begin(): CallerSocket = caller().also { caller ->
-        caller.send(request("/stream/x", id = "first", method = "POST", body = "a"))
+        caller.send(callerRequest("/stream/x", "first", "key-1", method = "POST", body = "a", remainingMillis = CALLER_MILLIS))
         assertTrue(caller.readUntil(event(BREAK_AFTER), LIMIT_MILLIS).endsWith(event(BREAK_AFTER)), "the stream begins")
     }
 
-    private fun GatewayFixture.takeUp(id: String, resumes: String = "first"): CallerAnswer =
-        call(
-            request(
-                "/stream/x",
-                id = id,
-                method = "POST",
-                body = "a",
-                more = "Resumes: $resumes\r\nLast-Event-Id: $BREAK_AFTER\r\n",
-            ),
-        )
+    private fun GatewayFixture.takeUp(id: String, resumes: String = "first"): CallerAnswer = call(
+        request(
+            "/stream/x",
+            id = id,
+            method = "POST",
+            body = "a",
+            more = "Resumes: $resumes\r\nLast-Event-Id: $BREAK_AFTER\r\n",
+        ),
+    )
 
     private fun assertNotTakenUp(answer: CallerAnswer, vararg others: ScriptedUpstream) {
         assertEquals(503, answer.status, answer.body)
@@ -167,31 +167,32 @@
     }
 
     /** Runs [before] with one gateway, and after it has stopped [after] with another one that has the same store. */
-    private fun <T> runWithTwoHosts(
-        before: suspend GatewayFixture.() -> T,
-        after: suspend GatewayFixture.(T) -> Unit,
-    ) = runBlocking {
-        PlatformStoreServer().use { store ->
-            GatewayFixture(store).use { fixture ->
-                fixture.manifest()
-                val state = resourceScope {
-                    gatewayProcess(fixture.settings, GatewayFixture.DEPLOYMENT)
-                    fixture.before()
-                }
-                GatewayFixture(store, name = "edge-2").use { next ->
-                    resourceScope {
-                        gatewayProcess(next.settings, GatewayFixture.DEPLOYMENT)
-                        next.after(state)
+    private fun <T> runWithTwoHosts(before: suspend GatewayFixture.() -> T, after: suspend GatewayFixture.(T) -> Unit) =
+        runBlocking {
+            PlatformStoreServer().use { store ->
+                GatewayFixture(store).use { fixture ->
+                    fixture.manifest()
+                    val state = resourceScope {
+                        gatewayProcess(fixture.settings, GatewayFixture.DEPLOYMENT)
+                        fixture.before()
+                    }
+                    GatewayFixture(store, name = "edge-2").use { next ->
+                        resourceScope {
+                            gatewayProcess(next.settings, GatewayFixture.DEPLOYMENT)
+                            next.after(state)
+                        }
                     }
                 }
             }
         }
-    }
 
     private companion object {
         const val LAST_EVENT = 6
         const val BREAK_AFTER = 3
 
+        /** Time for which the caller of the stream waits, in milliseconds; it may come back until then. */
+        const val CALLER_MILLIS = 15_000L
+
         /** Longest time that a test waits for events, in milliseconds. */
         const val LIMIT_MILLIS = 3_000
         const val LIMIT_SECONDS = 20L
--- a/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/StoreContractTest.kt
@@ -39,6 +39,9 @@
             oddRegistration("Address", "\"127.0.0.1:0\""),
             oddRegistration("Address", "\"999.1.1.1:80\""),
             oddRegistration("Address", "\"localhost:80\""),
+            oddRegistration("Version", "1"),
+            oddRegistration("Version", "null"),
+            oddRegistration("Version", "\"\""),
             oddRegistration("Note", "\"${"x".repeat(200_000)}\""),
         )
 
@@ -94,10 +97,10 @@
             manifest()
             listOf(
                 """{"Backend":"plain"}""",
-                """{"Backend":"plain","Address":"nowhere","Zone":"zone","Slots":8,"State":"ready"}""",
-                """{"Backend":7,"Address":"127.0.0.1:1","Zone":"zone","Slots":"many","State":"ready"}""",
-                """{"Backend":"plain","Address":"127.0.0.1:1","Zone":"zone","Slots":8,"State":"asleep"}""",
-                """{"Backend":"unnamed","Address":"127.0.0.1:1","Zone":"zone","Slots":8,"State":"ready"}""",
+                """{"Backend":"plain","Address":"nowhere","Zone":"zone","Version":"v1","Slots":8,"State":"ready"}""",
+                """{"Backend":7,"Address":"127.0.0.1:1","Zone":"zone","Version":"v1","Slots":"many","State":"ready"}""",
+                """{"Backend":"plain","Address":"127.0.0.1:1","Zone":"zone","Version":"v1","Slots":8,"State":"asleep"}""",
+                """{"Backend":"unnamed","Address":"127.0.0.1:1","Zone":"zone","Version":"v1","Slots":8,"State":"ready"}""",
                 "[]",
                 "null",
             ).forEachIndexed { index, entry -> store.put("servers", "strange-$index", Json.parseToJsonElement(entry)) }
