--- a/core/src/test/kotlin/buckthornbay/core/resumption/StreamOriginsTest.kt
+++ b/core/src/test/kotlin/buckthornbay/core/resumption/StreamOriginsTest.kt
@@ -76,6 +76,16 @@
         assertNull(declared.forNewStreams(service, setOf("v3")), "no declared version is left")
     }
 
+    /** The store is restored from a copy that was made before the second version was declared. */
+    @Test
+    fun aVersionThatARestoredStoreLacksIsForgotten() {
+        declared.replaceAll(setOf(old, new))
+        declared.replaceAll(setOf(old))
+        assertEquals(OriginLookup.Unrecorded, lookUp(1))
+        assertEquals(setOf(new), declared.undeclared(setOf(old, new)))
+        assertEquals(setOf("v1"), declared.forNewStreams(service, setOf("v1", "v2")))
+    }
+
     @Test
     fun aVersionIsWithdrawnWhenItsUpstreamsHaveBeenGoneForLongEnough() {
         declared.replaceAll(setOf(old, new))
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StreamVersions.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StreamVersions.kt
@@ -16,6 +16,7 @@
 import buckthornbay.protocol.ServiceId
 import buckthornbay.store.ObjectCollections
 import buckthornbay.store.StoreError
+import buckthornbay.store.StoreRevision
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getError
 import com.github.michaelbull.result.getOrElse
@@ -54,7 +55,8 @@
     private val origins = StreamOrigins()
     private val declared = DeclaredVersions()
     private val nowMillis: Long get() = view.clock.nowMillis()
-    private var storedChanges = 0L
+    private var storedChanges = NOTHING_STORED
+    private var readInEra: Long? = null
     private var hasStoredOrigins = false
     private var reading: Deferred<Unit>? = null
 
@@ -62,6 +64,7 @@
         scope.launchLoop("declared versions", log) {
             load()
             while (true) {
+                readAgainAfterRestore()
                 declareNew()
                 withdrawOld()
                 delay(CHECK_MILLIS.milliseconds)
@@ -111,9 +114,18 @@
         while (!declared.isLoaded) {
             if (!readDeclared()) delay(LOAD_RETRY_MILLIS.milliseconds)
         }
+        readInEra = StoreRevision.eraOf(view.registry.revision)
         if (declared.isMixed) readOrigins()
     }
 
+    /** Reads the declarations again, and stores the origins again, if the store was restored from an older copy. */
+    private suspend fun readAgainAfterRestore() {
+        val era = StoreRevision.eraOf(view.registry.revision)
+        if (era == readInEra || !readDeclared()) return
+        readInEra = era
+        storedChanges = NOTHING_STORED
+    }
+
     /** Declares the versions of upstreams that have come; all hosts see them, and the first one by rank writes. */
     private suspend fun declareNew() {
         if (declared.undeclared(registered()).isEmpty()) return
@@ -136,12 +148,15 @@
         val retainMillis = retainMillis() + minOf(rank(), MAX_RANK) * WITHDRAW_STEP_MILLIS
         if (declared.absentFor(nowMillis, retainMillis, registered()).isEmpty() || !readDeclared()) return
         for (version in declared.absentFor(nowMillis, retainMillis, registered())) {
-            if (!store.remove(format.declaredVersionsKind, StreamVersionsFormat.nameOf(version)).succeeded("withdraw")) continue
+            if (declared.isStored(version) && !removeDeclaration(version)) continue
             declared.withdrawn(version)
             log.stateChange("event=version_withdrawn service=${version.service} version=${version.softwareVersion}")
         }
     }
 
+    private suspend fun removeDeclaration(version: ServiceVersion): Boolean =
+        store.remove(format.declaredVersionsKind, StreamVersionsFormat.nameOf(version)).succeeded("withdraw")
+
     /** Stores the origins of this host's streams if they changed, or removes them when they aren't needed any more. */
     private suspend fun storeOrigins() {
         val name = view.self.value
@@ -150,7 +165,7 @@
             return
         }
         val changes = origins.changes
-        if (changes == storedChanges) return
+        if (changes == storedChanges || (changes == 0L && !hasStoredOrigins)) return
         val value = StreamVersionsFormat.encodeOrigins(origins.current(nowMillis))
         if (!store.put(format.streamOriginsKind, name, value).succeeded("store")) return
         storedChanges = changes
@@ -216,6 +231,9 @@
     }
 
     private companion object {
+        /** Number of changes that no copy in the store has. */
+        const val NOTHING_STORED = -1L
+
         /** Period in which changes of the registered versions are looked for, in milliseconds; costs no call. */
         const val CHECK_MILLIS = 50L
 
--- a/router/src/test/kotlin/buckthornbay/router/gateway/MixedVersionsTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/MixedVersionsTest.kt
@@ -97,6 +97,50 @@
         assertEquals(0 to 1, other.requests.size to same.requests.size)
     }
 
+    /** An upstream wrote another version into its registration, with the same id, address and time of its start. */
+    @Test
+    fun aResponseGoesOnAtAnUpstreamWhoseVersionHasChanged() = GatewayFixture.run {
+        val first = engineOf("v1", "models-1") { if (it.number == 1) it.beginAndBreak() else it.goOn() }
+        awaitReady()
+        val caller = begin()
+        register("models-1", "models", first.address, sequence = 2, softwareVersion = "v2")
+        awaitReady()
+        mayBreak.countDown()
+        assertEquals("", caller.readUntil(event(LAST_EVENT), LIMIT_MILLIS).substringAfter("\r\n"), "the stream is broken off")
+        assertNotTakenUp(takeUp("second"), first)
+    }
+
+    /** A store that was restored from an older copy lacks the declaration of a version, and the origins of streams. */
+    @Test
+    fun aStreamGoesOnAtAnotherVersionAfterTheStoreWasRestored() = GatewayFixture.run {
+        engineOf("v1", "models-1") { it.beginAndBreak() }
+        awaitReady()
+        begin()
+        delay(STORED_MILLIS)
+        val copy = store.copy()
+        val other = engineOf("v2", "models-2") { it.goOn() }
+        awaitReady()
+        GatewayFixture.awaitTrue("both versions are declared") { store.names(DECLARED).size == 2 }
+        store.restore(copy)
+        register("models-2", "models", other.address, sequence = 2, softwareVersion = "v2")
+        assertNotTakenUp(takeUp("second", "unknown"), other)
+        GatewayFixture.awaitTrue("the version is declared again") { store.names(DECLARED).size == 2 }
+        mayBreak.countDown()
+        assertNotTakenUp(takeUp("third", "unknown"), other)
+    }
+
+    @Test
+    fun aStreamThatNobodyKnowsIsHeldWhileTheStoreIsOut() = GatewayFixture.run {
+        engineOf("v1", "models-1") { it.goOn() }
+        val other = engineOf("v2", "models-2") { it.goOn() }
+        awaitReady()
+        GatewayFixture.awaitTrue("both versions are declared") { store.names(DECLARED).size == 2 }
+        store.faults.busy = true
+        val sentAtNanos = System.nanoTime()
+        assertNotTakenUp(takeUp("second"), other)
+        assertTrue(System.nanoTime() - sentAtNanos < LIMIT_MILLIS * NANOS_PER_MILLI, "the request is refused at once")
+    }
+
     /** A caller took a stream up again, at the same host, and got its rest from another version; so did its next tries. */
     @Test
     fun aStreamThatItsCallerTakesUpGoesOnAtAnotherVersion() = GatewayFixture.run {
@@ -196,6 +240,8 @@
         /** Longest time that a test waits for events, in milliseconds. */
         const val LIMIT_MILLIS = 3_000
         const val LIMIT_SECONDS = 20L
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val DECLARED = "declared-versions"
 
         /** Time in which the beginning of a stream is stored, in milliseconds. */
         const val STORED_MILLIS = 800L
