Ask for the versions of new streams once a change, not once a placement

Each request that is placed asked the registry for the versions at which its stream may begin, through all registrations. They are kept until the upstreams or the declared versions change. No decision changes; the gain was not measured by itself.

--- a/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/GatewayProcess.kt
@@ -389,6 +389,7 @@
         shares.tokensPerSecond = fleetView.routes?.configuration?.tokensPerSecond
         upstreams.evacuatedZones = fleetView.evacuatedZones.toSet()
         upstreams.refresh()
+        streamVersions.upstreamsChanged()
         rateLimits.retain(registry.all())
         coldUpstreams.update(clock.nowMillis(), registry.all()) { fleetView.routes?.service(it)?.coldRequestsPerSecond }
         if (settings.bounds.paceStarts) startPace.update(clock.nowMillis(), registry.all())
--- a/router/src/main/kotlin/buckthornbay/router/gateway/StreamVersions.kt
+++ b/router/src/main/kotlin/buckthornbay/router/gateway/StreamVersions.kt
@@ -55,11 +55,15 @@
     private val origins = StreamOrigins()
     private val declared = DeclaredVersions()
     private val nowMillis: Long get() = view.clock.nowMillis()
+    private val selections = HashMap<ServiceId, Selection>()
     private var storedChanges = NOTHING_STORED
     private var readInEra: Long? = null
     private var hasStoredOrigins = false
     private var reading: Deferred<Unit>? = null
 
+    /** The [versions] at which streams of a service may begin; null if all may. Each request that is placed asks for them. */
+    private class Selection(val versions: Set<String>?)
+
     fun start() {
         scope.launchLoop("declared versions", log) {
             load()
@@ -79,8 +83,13 @@
     }
 
     /** Returns the versions at which streams of [service] may begin; null if all may. */
-    fun forNewStreams(service: ServiceId): Set<String>? =
-        declared.forNewStreams(service, view.registry.usable(service).mapNotNull { it.softwareVersion }.toSet())
+    fun forNewStreams(service: ServiceId): Set<String>? = selections.getOrPut(service) {
+        val usable = view.registry.usable(service).mapNotNull { it.softwareVersion }.toSet()
+        Selection(declared.forNewStreams(service, usable))
+    }.versions
+
+    /** Takes note of a change of the registered upstreams. */
+    fun upstreamsChanged() = selections.clear()
 
     /** Records that [key] has begun at [origin] and may be taken up again until [untilMillis]. */
     fun begun(key: StreamKey, origin: ServiceVersion, untilMillis: Long) =
@@ -139,6 +148,7 @@
             val written = store.put(format.declaredVersionsKind, StreamVersionsFormat.nameOf(version), value)
             if (!written.succeeded("declare")) continue
             declared.declared(version)
+            selections.clear()
             log.stateChange("event=version_declared service=${version.service} version=${version.softwareVersion}")
         }
     }
@@ -150,6 +160,7 @@
         for (version in declared.absentFor(nowMillis, retainMillis, registered())) {
             if (declared.isStored(version) && !removeDeclaration(version)) continue
             declared.withdrawn(version)
+            selections.clear()
             log.stateChange("event=version_withdrawn service=${version.service} version=${version.softwareVersion}")
         }
     }
@@ -182,6 +193,7 @@
             }
         }
         declared.replaceAll(versions.toSet())
+        selections.clear()
         return true
     }
 
