--- a/core/src/main/kotlin/buckthornbay/core/load/RequestCounts.kt
+++ b/core/src/main/kotlin/buckthornbay/core/load/RequestCounts.kt
@@ -23,6 +23,7 @@
     /** Returns the number of requests in progress at [upstream]. */
     public operator fun get(upstream: UpstreamId): Int = byChecksum[checksumOf(upstream)] ?: 0
 
+    /** Returns the sums of both numbers, by upstream. */
     public operator fun plus(other: RequestCounts): RequestCounts {
         val sums = HashMap(byChecksum)
         other.byChecksum.forEach { (checksum, count) -> sums.merge(checksum, count, Int::plus) }
