--- a/core/src/main/kotlin/buckthornbay/core/resumption/DeclaredVersions.kt
+++ b/core/src/main/kotlin/buckthornbay/core/resumption/DeclaredVersions.kt
@@ -35,7 +35,7 @@
         possible += read
     }
 
-    /** Records that the store has [version]. */
+    /** Records that [version] has been declared, so that streams may begin at it. */
     public fun declared(version: ServiceVersion) {
         stored += version
         possible += version
