--- a/router/src/test/kotlin/buckthornbay/router/gateway/MisbehavingCallersTest.kt
+++ b/router/src/test/kotlin/buckthornbay/router/gateway/MisbehavingCallersTest.kt
@@ -1,6 +1,6 @@
 package buckthornbay.router.gateway
 
-import buckthornbay.core.KnownRed
+import buckthornbay.router.KnownRed
 import buckthornbay.router.freeLoopbackPorts
 import buckthornbay.testkit.platform.PlatformStoreServer
 import kotlinx.coroutines.delay
